The whole path, thin: a completion and an order through separate processes

A caller asks an entry host for addresses, posts a chat completion and gets a streamed, whole answer from a pipeline of two stages; an order to a plain service is claimed in the platform, run once, and its repeat at another host gets the recorded outcome.

Ruled out for a start: leases for safety (only conditional writes decide), and activations through entry hosts (they go from stage to stage).

--- /dev/null
+++ b/cmd/dragonflyhatch/client.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchentry"
+)
+
+// operatorTimeout bounds one call to an operator listener.
+const operatorTimeout = 15 * time.Second
+
+// operatorFlags are the flags of every command that talks to a daemon.
+func operatorFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{
+			Name: "host", Required: true, Sources: cli.EnvVars("DRAGONFLYHATCH_HOST"),
+			Usage: "operator address of any daemon, as IP:PORT",
+		},
+		&cli.StringFlag{
+			Name: "token", Required: true, Sources: cli.EnvVars("DRAGONFLYHATCH_TOKEN"),
+			Usage: "operator's bearer token; better given by the environment",
+		},
+	}, more...)
+}
+
+// operatorClient talks to one daemon's operator listener.
+type operatorClient struct {
+	base  string
+	token string
+}
+
+func newOperatorClient(command *cli.Command) *operatorClient {
+	return &operatorClient{base: "http://" + command.String("host"), token: command.String("token")}
+}
+
+// ask sends a query and decodes the answer.
+func (client *operatorClient) ask(ctx context.Context, path string, answer any) error {
+	return client.exchange(ctx, http.MethodGet, path, nil, answer)
+}
+
+// order sends a command and decodes the answer.
+func (client *operatorClient) order(ctx context.Context, path string, body, answer any) error {
+	return client.exchange(ctx, http.MethodPut, path, body, answer)
+}
+
+func (client *operatorClient) exchange(ctx context.Context, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, client.base+path, bytes.NewReader(text))
+	if err != nil {
+		return usageError{err}
+	}
+	request.Header.Set("Authorization", "Bearer "+client.token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	reply, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return refusalOf(response.Status, reply)
+	}
+	return json.Unmarshal(reply, answer)
+}
+
+// problem is the part of a refusal that the command shows.
+type problem struct {
+	hatchentry.Problem
+	Ran string `json:"ran"`
+}
+
+func refusalOf(status string, reply []byte) error {
+	var refusal problem
+	if err := json.Unmarshal(reply, &refusal); err != nil {
+		return errors.Newf("status %s: %s", status, reply)
+	}
+	kind, known := dragonflyhatch.KindNamed(refusal.Kind)
+	if !known {
+		return errors.Newf("status %s: %s", status, reply)
+	}
+	if len(refusal.Faults) > 0 {
+		return refusedError{refusal.Faults}
+	}
+	return dragonflyhatch.Fail(kind, "%s (ran: %s)", refusal.Detail, refusal.Ran)
+}
+
+// printJSON writes a value for people and programs alike.
+func printJSON(value any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/cmd/dragonflyhatch/config.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchaudit"
+	"dragonflyhatch/hatchconfig"
+	"dragonflyhatch/hatchentry"
+)
+
+const configFiles = "BASE [SITE=OVERLAY...]"
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check, apply and look at the shared configuration",
+		Description: "The configuration is one base file and one overlay for each site, which states only\n" +
+			"where the site differs. Files are JSON with comments.",
+		Commands: []*cli.Command{
+			{
+				Name:      "check",
+				Usage:     "report every fault of the files, and apply nothing",
+				ArgsUsage: configFiles,
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "settings", Usage: "check this file of process settings instead"},
+				},
+				Action: configCheck,
+			},
+			{
+				Name:      "apply",
+				Usage:     "make the files the accepted configuration of all sites",
+				ArgsUsage: configFiles,
+				Description: "The files are refused whole if they have a fault anywhere, or if the version in\n" +
+					"force is not --if-version any more.",
+				Flags: operatorFlags(&cli.Uint64Flag{
+					Name: "if-version", Usage: "version that the files replace; by default the one in force at the host",
+				}),
+				Action: configApply,
+			},
+			{
+				Name:   "get",
+				Usage:  "print the accepted configuration that a host has in force",
+				Flags:  operatorFlags(),
+				Action: configGet,
+			},
+			{
+				Name:      "diff",
+				Usage:     "show how the files differ from the accepted configuration",
+				ArgsUsage: configFiles,
+				Flags:     operatorFlags(),
+				Action:    configDiff,
+			},
+			{
+				Name:   "history",
+				Usage:  "list the changes of the configuration, refused ones included",
+				Flags:  operatorFlags(),
+				Action: configHistory,
+			},
+		},
+	}
+}
+
+func configCheck(_ context.Context, command *cli.Command) error {
+	if file := command.String("settings"); file != "" {
+		_, err := readSettings(file)
+		return err
+	}
+	proposal, err := readProposal(command)
+	if err != nil {
+		return err
+	}
+	if err := hatchconfig.Check(dragonflyhatch.AcceptedConfiguration{Base: proposal.Base, Overlays: proposal.Overlays}); err != nil {
+		return refusedError{err}
+	}
+	fmt.Printf("%s: no faults\n", strings.Join(command.Args().Slice(), ", "))
+	return nil
+}
+
+// readProposal reads the files that the arguments name.
+func readProposal(command *cli.Command) (hatchentry.Proposal, error) {
+	var proposal hatchentry.Proposal
+	args := command.Args().Slice()
+	if len(args) == 0 {
+		return proposal, usageError{errors.Newf("%s wants %s", command.FullName(), configFiles)}
+	}
+	var err error
+	if proposal.Base, err = readSource("", args[0]); err != nil {
+		return proposal, err
+	}
+	for _, argument := range args[1:] {
+		site, file, ok := strings.Cut(argument, "=")
+		if !ok || site == "" {
+			return proposal, usageError{errors.Newf("an overlay wants SITE=FILE, not %q", argument)}
+		}
+		overlay, err := readSource(site, file)
+		if err != nil {
+			return proposal, err
+		}
+		proposal.Overlays = append(proposal.Overlays, overlay)
+	}
+	return proposal, nil
+}
+
+func readSource(site, file string) (dragonflyhatch.SourceFile, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return dragonflyhatch.SourceFile{}, usageError{err}
+	}
+	return dragonflyhatch.SourceFile{Name: file, Site: site, Text: string(text)}, nil
+}
+
+func configApply(ctx context.Context, command *cli.Command) error {
+	proposal, err := readProposal(command)
+	if err != nil {
+		return err
+	}
+	client := newOperatorClient(command)
+	proposal.IfVersion = command.Uint64("if-version")
+	if !command.IsSet("if-version") {
+		var current dragonflyhatch.AcceptedConfiguration
+		if err := client.ask(ctx, "/v1/configuration", &current); err != nil {
+			return err
+		}
+		proposal.IfVersion = current.Version
+	}
+	var accepted hatchentry.Accepted
+	if err := client.order(ctx, "/v1/configuration", proposal, &accepted); err != nil {
+		return err
+	}
+	fmt.Printf("accepted as version %d\n", accepted.Version)
+	return nil
+}
+
+func configGet(ctx context.Context, command *cli.Command) error {
+	var current dragonflyhatch.AcceptedConfiguration
+	if err := newOperatorClient(command).ask(ctx, "/v1/configuration", &current); err != nil {
+		return err
+	}
+	return printJSON(current)
+}
+
+func configDiff(ctx context.Context, command *cli.Command) error {
+	proposal, err := readProposal(command)
+	if err != nil {
+		return err
+	}
+	var current dragonflyhatch.AcceptedConfiguration
+	if err := newOperatorClient(command).ask(ctx, "/v1/configuration", &current); err != nil {
+		return err
+	}
+	lines := hatchconfig.Diff(current, dragonflyhatch.AcceptedConfiguration{Base: proposal.Base, Overlays: proposal.Overlays})
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	return nil
+}
+
+func configHistory(ctx context.Context, command *cli.Command) error {
+	return printAudit(ctx, command, "configuration")
+}
+
+func printAudit(ctx context.Context, command *cli.Command, what string) error {
+	var entries []hatchaudit.Entry
+	if err := newOperatorClient(command).ask(ctx, "/v1/audit?what="+what, &entries); err != nil {
+		return err
+	}
+	return printJSON(entries)
+}
--- /dev/null
+++ b/failure.go
@@ -0,0 +1,44 @@
+package dragonflyhatch
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Failure is an error that knows its kind, and by it the answer to give.
+type Failure struct {
+	Kind   Kind
+	Detail string
+	Cause  error // further reason, or nil
+}
+
+// Fail returns a Failure of the kind with a formatted detail.
+func Fail(kind Kind, format string, args ...any) error {
+	return &Failure{Kind: kind, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the kind and the detail.
+func (failure *Failure) Error() string {
+	return failure.Kind.String() + ": " + failure.Detail
+}
+
+// Unwrap returns the cause.
+func (failure *Failure) Unwrap() error {
+	return failure.Cause
+}
+
+// FailureOf returns the Failure in the chain of err; any other error counts as
+// KindInternal, whose answer claims nothing about whether the request ran.
+func FailureOf(err error) *Failure {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &Failure{Kind: KindInternal, Detail: err.Error()}
+}
+
+// KindOf returns the kind of the Failure in the chain of err.
+func KindOf(err error) Kind {
+	return FailureOf(err).Kind
+}
--- /dev/null
+++ b/hatchaudit/journal.go
@@ -0,0 +1,110 @@
+package hatchaudit
+
+import (
+	"sync"
+	"time"
+)
+
+// Event is one thing that happened to a request.
+type Event struct {
+	At   time.Time `json:"at"`
+	What string    `json:"what"`
+	Why  string    `json:"why,omitempty"`
+}
+
+// Record is what is kept of a request to explain it.
+type Record struct {
+	Request      string    `json:"request"`
+	Host         string    `json:"host"`
+	Organisation string    `json:"organisation"`
+	Target       string    `json:"target"` // model or service
+	Begun        time.Time `json:"begun"`
+	Deadline     time.Time `json:"deadline"`
+	Outcome      string    `json:"outcome,omitempty"` // empty while it runs
+	Omitted      int       `json:"omitted,omitempty"` // events beyond the bound
+	Events       []Event   `json:"events"`
+}
+
+// The bounds of a journal.
+const (
+	maxRecords = 4096
+	maxEvents  = 32 // of one request
+)
+
+// Journal keeps the records of the most recent requests.
+type Journal struct {
+	host string
+
+	mu      sync.Mutex
+	records map[string]*Record
+	ring    [maxRecords]string // names of the records, by age
+	next    int
+}
+
+// NewJournal returns the journal of the daemon on the host.
+func NewJournal(host string) *Journal {
+	return &Journal{host: host, records: make(map[string]*Record)}
+}
+
+// Begin starts the record of a request and forgets the oldest one.
+func (journal *Journal) Begin(request, organisation, target string, deadline time.Time) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	delete(journal.records, journal.ring[journal.next])
+	journal.ring[journal.next] = request
+	journal.next = (journal.next + 1) % maxRecords
+	journal.records[request] = &Record{
+		Request: request, Host: journal.host, Organisation: organisation, Target: target,
+		Begun: time.Now().UTC(), Deadline: deadline.UTC(),
+	}
+}
+
+// Note adds an event to the record of the request, if it is still kept.
+func (journal *Journal) Note(request, what, why string) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	record, ok := journal.records[request]
+	if !ok {
+		return
+	}
+	if len(record.Events) == maxEvents {
+		record.Omitted++
+		return
+	}
+	record.Events = append(record.Events, Event{At: time.Now().UTC(), What: what, Why: why})
+}
+
+// End notes the outcome of the request.
+func (journal *Journal) End(request, outcome string) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	if record, ok := journal.records[request]; ok {
+		record.Outcome = outcome
+	}
+}
+
+// Find returns a copy of the record of the request, or false.
+func (journal *Journal) Find(request string) (Record, bool) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	record, ok := journal.records[request]
+	if !ok {
+		return Record{}, false
+	}
+	found := *record
+	found.Events = append([]Event(nil), record.Events...)
+	return found, true
+}
+
+// Open returns the records of the requests that still run.
+func (journal *Journal) Open() []Record {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	var open []Record
+	for _, record := range journal.records {
+		if record.Outcome == "" {
+			open = append(open, *record)
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/hatchclaim/head.go
@@ -0,0 +1,118 @@
+package hatchclaim
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"dragonflyhatch"
+)
+
+// maxRecordedBody bounds the reply body that a record keeps, in bytes.
+const maxRecordedBody = 8 << 10
+
+// Outcome is the recorded reply to a request that ran.
+type Outcome struct {
+	Status      int                     `json:"status"`
+	Headers     []dragonflyhatch.Header `json:"headers,omitempty"`
+	Body        []byte                  `json:"body,omitempty"`
+	BodyOmitted bool                    `json:"bodyOmitted,omitempty"` // the body was too long to keep
+}
+
+// Record returns the outcome to keep of a reply.
+func Record(reply dragonflyhatch.ServiceReply) Outcome {
+	outcome := Outcome{Status: reply.Status, Headers: reply.Headers, Body: reply.Body}
+	if len(reply.Body) > maxRecordedBody {
+		outcome.Body, outcome.BodyOmitted = nil, true
+	}
+	return outcome
+}
+
+// Claim is the right of one process to run a request, and later its outcome.
+type Claim struct {
+	ID
+	Digest  string    `json:"digest"`
+	KeyTime time.Time `json:"keyTime"`
+	Owner   string    `json:"owner"`             // the process that may dispatch it
+	Outcome *Outcome  `json:"outcome,omitempty"` // nil while not known
+}
+
+// SegmentRef names an object that holds claims with outcomes, moved out of a
+// head that had grown large.
+type SegmentRef struct {
+	Name   string    `json:"name"`
+	Newest time.Time `json:"newest"` // latest key time in the segment
+}
+
+// Head is the value of a shard's object.
+type Head struct {
+	Epoch    uint64       `json:"epoch"` // raised by every take-over
+	Owner    string       `json:"owner"` // process that last took the shard over
+	Horizon  time.Time    `json:"horizon"`
+	Claims   []Claim      `json:"claims,omitempty"`
+	Segments []SegmentRef `json:"segments,omitempty"`
+}
+
+// HeadName is the name of the object that holds a shard's head.
+func HeadName(shard int) string {
+	return fmt.Sprintf("claims/%02d/head", shard)
+}
+
+// Encode returns the head as it is stored.
+func (head Head) Encode() ([]byte, error) {
+	return json.Marshal(head)
+}
+
+// DecodeHead reads a stored head.
+func DecodeHead(value []byte) (Head, error) {
+	var head Head
+	err := json.Unmarshal(value, &head)
+	return head, err
+}
+
+// EncodeSegment returns the claims of a segment as they are stored.
+func EncodeSegment(claims []Claim) ([]byte, error) {
+	return json.Marshal(claims)
+}
+
+// DecodeSegment reads a stored segment.
+func DecodeSegment(value []byte) ([]Claim, error) {
+	var claims []Claim
+	err := json.Unmarshal(value, &claims)
+	return claims, err
+}
+
+// copied returns a head whose lists can be changed without changing this one.
+func (head Head) copied() Head {
+	head.Claims = slices.Clone(head.Claims)
+	head.Segments = slices.Clone(head.Segments)
+	return head
+}
+
+func (head Head) find(id ID) (Claim, bool) {
+	for _, claim := range head.Claims {
+		if claim.ID == id {
+			return claim, true
+		}
+	}
+	return Claim{}, false
+}
+
+// claimOverhead is about what a claim's field names and numbers take, in bytes.
+const claimOverhead = 160
+
+// size estimates the stored length of the claims that have an outcome.
+func (head Head) sealableSize() int {
+	size := 0
+	for _, claim := range head.Claims {
+		if claim.Outcome != nil {
+			size += claimOverhead + len(claim.Organisation) + len(claim.Key) + len(claim.Digest) + len(claim.Owner)
+			size += len(claim.Outcome.Body) * 4 / 3
+			for _, header := range claim.Outcome.Headers {
+				size += len(header.Name) + len(header.Value)
+			}
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/hatchconfig/configuration.go
@@ -0,0 +1,138 @@
+package hatchconfig
+
+import (
+	"strings"
+
+	"dragonflyhatch"
+)
+
+// Configuration is what one site's daemons work by: the base with the site's
+// overlay laid over it.
+type Configuration struct {
+	Version       uint64                  `json:"-"` // of the accepted configuration it came from
+	Site          string                  `json:"-"`
+	SealingKeys   []SealingKey            `json:"sealingKeys" config:"required"` // the first seals, all open
+	Organisations map[string]Organisation `json:"organisations" config:"required"`
+	Models        map[string]Model        `json:"models"`
+	Engines       map[string]Engine       `json:"engines"`
+	Services      map[string]Service      `json:"services"`
+}
+
+// Organisation is a customer of the fleet.
+type Organisation struct {
+	TokenHashes []TokenHash `json:"tokenHashes" config:"required"`
+	Deadline    Duration    `json:"deadline" config:"required"` // promised for a whole answer
+	Share       int         `json:"share"`                      // weight when the fleet is full, 1 if not given
+}
+
+// Model is a language model that engines hold by ranges of layers.
+type Model struct {
+	Layers    int `json:"layers" config:"required"`
+	MaxTokens int `json:"maxTokens" config:"required"` // longest answer, in tokens
+}
+
+// Engine is an upstream that holds a range of a model's layers.
+type Engine struct {
+	Address       string `json:"address" config:"required"`
+	Site          string `json:"site" config:"required"`
+	Model         string `json:"model" config:"required"`
+	Version       string `json:"version" config:"required"`
+	FirstLayer    int    `json:"firstLayer"`
+	EndLayer      int    `json:"endLayer" config:"required"` // the layer after the last
+	Accelerator   string `json:"accelerator"`
+	Slots         int    `json:"slots"` // streams served at once, 1 if not given
+	ChecksFencing bool   `json:"checksFencing"`
+}
+
+// Layers returns the range of layers that the engine holds.
+func (engine Engine) Layers() dragonflyhatch.LayerRange {
+	return dragonflyhatch.LayerRange{First: engine.FirstLayer, End: engine.EndLayer}
+}
+
+// Service is a plain service with its replicas.
+type Service struct {
+	Replicas map[string]Replica `json:"replicas" config:"required"`
+	Routes   []Route            `json:"routes"`
+}
+
+// Replica is an upstream that serves a plain service.
+type Replica struct {
+	Address string `json:"address" config:"required"`
+	Site    string `json:"site" config:"required"`
+}
+
+// Route says whether the calls of a service that it matches may be repeated; a
+// call that no route matches may not.
+type Route struct {
+	Method     string `json:"method" config:"required"`
+	Path       string `json:"path" config:"required"` // a trailing * matches any rest
+	Repeatable bool   `json:"repeatable"`
+}
+
+// Resolve merges the base with the overlay of the site, if there is one, and
+// checks the result; the error is of type Faults.
+func Resolve(accepted dragonflyhatch.AcceptedConfiguration, site string) (*Configuration, error) {
+	base, faults := parse(accepted.Base.Name, accepted.Base.Text)
+	if len(faults) > 0 {
+		return nil, faults.err()
+	}
+	merged := base
+	for _, overlay := range accepted.Overlays {
+		if overlay.Site != site {
+			continue
+		}
+		tree, faults := parse(overlay.Name, overlay.Text)
+		if len(faults) > 0 {
+			return nil, faults.err()
+		}
+		merged = merge(merged, tree)
+	}
+	configuration, faults := resolveTree(merged, accepted.Base.Name)
+	if len(faults) > 0 {
+		return nil, faults.err()
+	}
+	configuration.Version = accepted.Version
+	configuration.Site = site
+	return configuration, nil
+}
+
+// Check checks the base alone and with each overlay, and returns all faults
+// of all sites in one error of type Faults.
+func Check(accepted dragonflyhatch.AcceptedConfiguration) error {
+	var faults Faults
+	sites := []string{""}
+	for _, overlay := range accepted.Overlays {
+		if overlay.Site == "" {
+			faults = append(faults, Fault{Position{overlay.Name, 1}, "", "the overlay names no site"})
+		}
+		sites = append(sites, overlay.Site)
+	}
+	for _, site := range sites {
+		if _, err := Resolve(accepted, site); err != nil {
+			faults = append(faults, err.(Faults)...)
+		}
+	}
+	return faults.err()
+}
+
+// Repeatable says whether a call may be sent more than once. The path may carry
+// a query, which no route looks at.
+func (service Service) Repeatable(method, path string) bool {
+	path, _, _ = strings.Cut(path, "?")
+	for _, route := range service.Routes {
+		if route.matches(method, path) {
+			return route.Repeatable
+		}
+	}
+	return false
+}
+
+func (route Route) matches(method, path string) bool {
+	if route.Method != method {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(route.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return route.Path == path
+}
--- /dev/null
+++ b/hatchconfig/settings.go
@@ -0,0 +1,134 @@
+package hatchconfig
+
+import (
+	"cmp"
+	"reflect"
+	"strconv"
+	"time"
+)
+
+// Settings is what one daemon process learns from its own file.
+type Settings struct {
+	Host            string              `json:"host" config:"required"`
+	Site            string              `json:"site" config:"required"`
+	CallerAddress   string              `json:"callerAddress" config:"required"`
+	OperatorAddress string              `json:"operatorAddress" config:"required"`
+	PeerAddress     string              `json:"peerAddress" config:"required"`
+	Platform        string              `json:"platform" config:"required"` // address of the object API
+	Peers           []string            `json:"peers"`                      // peer addresses to ask while the platform is down
+	Operators       map[string]Operator `json:"operators" config:"required"`
+	Limits          Limits              `json:"limits"`
+	Timing          Timing              `json:"timing"`
+}
+
+// Operator is a person or program that may use the operator listener.
+type Operator struct {
+	TokenHash TokenHash `json:"tokenHash" config:"required"`
+}
+
+// Limits bounds what one caller can make the daemon hold.
+type Limits struct {
+	MaxBody       int      `json:"maxBody"`       // bytes of a request body
+	MaxHeaders    int      `json:"maxHeaders"`    // bytes of all header lines
+	HeaderTimeout Duration `json:"headerTimeout"` // to receive the header
+	BodyTimeout   Duration `json:"bodyTimeout"`   // to receive the body
+	MaxInFlight   int      `json:"maxInFlight"`   // requests of callers at once
+}
+
+// Timing is how long the daemon waits for what.
+type Timing struct {
+	EntriesKept     Duration `json:"entriesKept"`     // how long a caller keeps an entries answer
+	StopBound       Duration `json:"stopBound"`       // longest graceful stop
+	Heartbeat       Duration `json:"heartbeat"`       // between heartbeats to peers
+	StreamSilence   Duration `json:"streamSilence"`   // without a frame before a stream counts as lost
+	PlatformTimeout Duration `json:"platformTimeout"` // for one call to the platform
+	CommitInterval  Duration `json:"commitInterval"`  // least time between two commits of a claim shard
+}
+
+// DefaultLimits returns the limits of a daemon whose settings give none.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBody:       1 << 20,
+		MaxHeaders:    16 << 10,
+		HeaderTimeout: Duration(5 * time.Second),
+		BodyTimeout:   Duration(10 * time.Second),
+		MaxInFlight:   2048,
+	}
+}
+
+// DefaultTiming returns the timing of a daemon whose settings give none.
+func DefaultTiming() Timing {
+	return Timing{
+		EntriesKept:     Duration(10 * time.Second),
+		StopBound:       Duration(60 * time.Second),
+		Heartbeat:       Duration(time.Second),
+		StreamSilence:   Duration(time.Second),
+		PlatformTimeout: Duration(2 * time.Second),
+		CommitInterval:  Duration(100 * time.Millisecond),
+	}
+}
+
+// The bounds of what settings may ask for.
+const (
+	maxBody     = 64 << 20
+	maxHeaders  = 1 << 20
+	maxInFlight = 1 << 20
+	minTiming   = time.Millisecond
+	maxTiming   = time.Hour
+)
+
+// ReadSettings reads and checks the settings in the text of a file; the error
+// is of type Faults.
+func ReadSettings(file, text string) (*Settings, error) {
+	tree, faults := parse(file, text)
+	if len(faults) > 0 {
+		return nil, faults.err()
+	}
+	decoder := newDecoder(file)
+	settings := &Settings{Limits: DefaultLimits(), Timing: DefaultTiming()}
+	decoder.decode(tree, "", reflect.ValueOf(settings).Elem())
+	settings.check(decoder)
+	if len(decoder.faults) > 0 {
+		return nil, decoder.faults.err()
+	}
+	return settings, nil
+}
+
+func (settings *Settings) check(decoder *decoder) {
+	decoder.checkName("host", cmp.Or(settings.Host, "-"))
+	decoder.checkName("site", cmp.Or(settings.Site, "-"))
+	decoder.checkAddress("callerAddress", settings.CallerAddress)
+	decoder.checkAddress("operatorAddress", settings.OperatorAddress)
+	decoder.checkAddress("peerAddress", settings.PeerAddress)
+	decoder.checkAddress("platform", settings.Platform)
+	for i, peer := range settings.Peers {
+		decoder.checkAddress("peers["+strconv.Itoa(i)+"]", peer)
+	}
+	if decoder.given("operators") && len(settings.Operators) == 0 {
+		decoder.faultAt("operators", "wants at least one operator")
+	}
+	if decoder.given("operatorAddress") && settings.OperatorAddress == settings.CallerAddress {
+		decoder.faultAt("operatorAddress", "is also the caller's address")
+	}
+	limits := settings.Limits
+	decoder.checkRange("limits.maxBody", limits.MaxBody, 1, maxBody)
+	decoder.checkRange("limits.maxHeaders", limits.MaxHeaders, 1, maxHeaders)
+	decoder.checkRange("limits.maxInFlight", limits.MaxInFlight, 1, maxInFlight)
+	timing := settings.Timing
+	durations := []struct {
+		path  string
+		value Duration
+	}{
+		{"limits.headerTimeout", limits.HeaderTimeout},
+		{"limits.bodyTimeout", limits.BodyTimeout},
+		{"timing.entriesKept", timing.EntriesKept},
+		{"timing.stopBound", timing.StopBound},
+		{"timing.heartbeat", timing.Heartbeat},
+		{"timing.streamSilence", timing.StreamSilence},
+		{"timing.platformTimeout", timing.PlatformTimeout},
+		{"timing.commitInterval", timing.CommitInterval},
+	}
+	for _, duration := range durations {
+		decoder.checkDuration(duration.path, time.Duration(duration.value), minTiming, maxTiming)
+	}
+}
--- /dev/null
+++ b/hatchentry/guard.go
@@ -0,0 +1,123 @@
+package hatchentry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchconfig"
+)
+
+// guard bounds what a caller can make the daemon hold.
+type guard struct {
+	limits   hatchconfig.Limits
+	inFlight atomic.Int64
+	leaving  func() bool
+}
+
+// wrap names each request, refuses what is beyond the bounds, and turns a panic
+// into an answer.
+func (guard *guard) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(requestHeader, uuid.NewString())
+		if guard.leaving() {
+			writer.Header().Set("Connection", "close")
+		}
+		if size := headerSize(request.Header); size > guard.limits.MaxHeaders {
+			writer.Header().Set("Connection", "close")
+			refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindHeadersTooLarge, "%d bytes of headers, the limit is %d", size, guard.limits.MaxHeaders))
+			return
+		}
+		defer guard.inFlight.Add(-1)
+		if guard.inFlight.Add(1) > int64(guard.limits.MaxInFlight) {
+			refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindOverloaded, "%d requests are in flight", guard.limits.MaxInFlight))
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func headerSize(header http.Header) int {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// readBody reads the whole body within the bounds of size and time.
+func (guard *guard) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
+	control := http.NewResponseController(writer)
+	timeout := time.Duration(guard.limits.BodyTimeout)
+	if err := control.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, int64(guard.limits.MaxBody)))
+	var tooLarge *http.MaxBytesError
+	var timedOut net.Error
+	switch {
+	case err == nil:
+		return body, control.SetReadDeadline(time.Time{})
+	case errors.As(err, &tooLarge):
+		return nil, dragonflyhatch.Fail(dragonflyhatch.KindRequestTooLarge, "the limit is %d bytes", guard.limits.MaxBody)
+	case errors.As(err, &timedOut) && timedOut.Timeout():
+		writer.Header().Set("Connection", "close")
+		return nil, dragonflyhatch.Fail(dragonflyhatch.KindRequestTimeout, "the body did not arrive within %v", timeout)
+	}
+	return nil, dragonflyhatch.Fail(dragonflyhatch.KindBadRequest, "the body cannot be read: %v", err)
+}
+
+// bearer returns the token of the Authorization header.
+func bearer(request *http.Request) (string, error) {
+	token, ok := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return "", dragonflyhatch.Fail(dragonflyhatch.KindUnauthorized, "there is no bearer token")
+	}
+	return token, nil
+}
+
+// deadlineOf returns the organisation's promise, or the shorter time that the
+// caller asks for.
+func deadlineOf(request *http.Request, promise time.Duration) (time.Time, error) {
+	wanted := request.Header.Get(deadlineHeader)
+	if wanted == "" {
+		return time.Now().Add(promise), nil
+	}
+	duration, err := time.ParseDuration(wanted)
+	if err != nil || duration <= 0 {
+		return time.Time{}, dragonflyhatch.Fail(dragonflyhatch.KindBadRequest, `%s wants a duration such as "2s"`, deadlineHeader)
+	}
+	return time.Now().Add(min(duration, promise)), nil
+}
+
+// newRouter returns a router that answers what it has no route for by the table
+// of kinds.
+func newRouter() *httprouter.Router {
+	router := httprouter.New()
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.HandleOPTIONS = false
+	router.NotFound = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindNotFound, "no resource %.100q", request.URL.Path))
+	})
+	router.MethodNotAllowed = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindMethodNotAllowed, "%.20q", request.Method))
+	})
+	router.PanicHandler = func(writer http.ResponseWriter, _ *http.Request, reason any) {
+		if reason == http.ErrAbortHandler { //nolint:errorlint // a sentinel that net/http compares itself
+			panic(reason)
+		}
+		refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindInternal, "%v", reason))
+	}
+	return router
+}
--- /dev/null
+++ b/hatchretry/attempts.go
@@ -0,0 +1,88 @@
+package hatchretry
+
+import (
+	"time"
+
+	"dragonflyhatch"
+)
+
+// maxAttempts bounds the attempts at one answer.
+const maxAttempts = 6
+
+// Attempts follows the attempts at one answer, which may be repeated: only the
+// tokens that are delivered count. It decides what follows a failure and what
+// the caller may be told at the end.
+type Attempts struct {
+	deadline time.Time
+	count    int
+	maybeRan bool // some attempt may have run
+	excluded []string
+}
+
+// NewAttempts returns the attempts at an answer wanted by the deadline; resumed
+// says that an earlier daemon began it.
+func NewAttempts(deadline time.Time, resumed bool) *Attempts {
+	return &Attempts{deadline: deadline, maybeRan: resumed}
+}
+
+// Excluded returns the addresses that failed and are not to be tried again
+// while others are left.
+func (attempts *Attempts) Excluded() []string {
+	return attempts.excluded
+}
+
+// Forgive empties the list of excluded addresses.
+func (attempts *Attempts) Forgive() {
+	attempts.excluded = nil
+}
+
+// Failed takes the failure of an attempt, and the address at fault if one is
+// known. It returns nil if another attempt is to follow; budget is asked once
+// for it.
+func (attempts *Attempts) Failed(now time.Time, failure *dragonflyhatch.Failure, culprit string, budget *Budget) error {
+	attempts.count++
+	if failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
+		attempts.maybeRan = true
+	}
+	if culprit != "" {
+		attempts.excluded = append(attempts.excluded, culprit)
+	}
+	switch {
+	case !now.Before(attempts.deadline):
+		return attempts.End(deadlineFailure(failure))
+	case attempts.count >= maxAttempts || !retryable(failure.Kind):
+		return attempts.End(failure)
+	case !budget.Spend():
+		return attempts.End(failure)
+	}
+	return nil
+}
+
+// End returns the failure to tell the caller: if any attempt may have run, the
+// answer does not say that none did.
+func (attempts *Attempts) End(failure *dragonflyhatch.Failure) error {
+	if !attempts.maybeRan || failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
+		return failure
+	}
+	kind := dragonflyhatch.KindUpstreamLost
+	if failure.Kind == dragonflyhatch.KindDeadlineNotRun {
+		kind = dragonflyhatch.KindDeadlineUnknown
+	}
+	return &dragonflyhatch.Failure{Kind: kind, Detail: failure.Detail, Cause: failure}
+}
+
+func deadlineFailure(failure *dragonflyhatch.Failure) *dragonflyhatch.Failure {
+	return &dragonflyhatch.Failure{
+		Kind:   dragonflyhatch.KindDeadlineNotRun,
+		Detail: "the deadline passed after: " + failure.Detail,
+		Cause:  failure,
+	}
+}
+
+func retryable(kind dragonflyhatch.Kind) bool {
+	switch kind {
+	case dragonflyhatch.KindUpstreamLost, dragonflyhatch.KindUpstreamRefused, dragonflyhatch.KindUpstreamUnavailable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/hatchserve/entries.go
@@ -0,0 +1,84 @@
+package hatchserve
+
+import (
+	"time"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchconfig"
+	"dragonflyhatch/hatchentry"
+)
+
+// Entries returns the addresses that a caller may use, best first.
+func (daemon *Daemon) Entries(caller string) hatchentry.Entries {
+	daemon.mu.Lock()
+	defer daemon.mu.Unlock()
+	entries := hatchentry.Entries{KeepSeconds: time.Duration(daemon.settings.Timing.EntriesKept).Seconds()}
+	for _, entry := range daemon.daemons.Entries(daemon.settings.Site, caller) {
+		entries.Addresses = append(entries.Addresses, entry.CallerAddress)
+	}
+	return entries
+}
+
+// Authenticate returns the organisation of a bearer token, or a Failure of
+// KindUnauthorized.
+func (daemon *Daemon) Authenticate(token string) (hatchentry.Organisation, error) {
+	current, err := daemon.ready()
+	if err != nil {
+		return hatchentry.Organisation{}, err
+	}
+	name, ok := current.organisations[hatchconfig.HashToken(token)]
+	if !ok {
+		return hatchentry.Organisation{}, dragonflyhatch.Fail(dragonflyhatch.KindUnauthorized, "the bearer token names no organisation")
+	}
+	organisation := current.configuration.Organisations[name]
+	return hatchentry.Organisation{Name: name, Promise: time.Duration(organisation.Deadline)}, nil
+}
+
+// Model returns the longest answer of the model in tokens, or a Failure of
+// KindNotFound.
+func (daemon *Daemon) Model(name string) (int, error) {
+	current, err := daemon.ready()
+	if err != nil {
+		return 0, err
+	}
+	model, ok := current.configuration.Models[name]
+	if !ok {
+		return 0, dragonflyhatch.Fail(dragonflyhatch.KindNotFound, "no model %q", name)
+	}
+	return model.MaxTokens, nil
+}
+
+// Sealer returns what seals places in streams.
+func (daemon *Daemon) Sealer() (hatchentry.Sealer, error) {
+	current, err := daemon.ready()
+	if err != nil {
+		return nil, err
+	}
+	return current.sealer, nil
+}
+
+// Begin starts the record of a request.
+func (daemon *Daemon) Begin(request, organisation, target string, deadline time.Time) {
+	daemon.journal.Begin(request, organisation, target, deadline)
+}
+
+// End closes the record of a request; err is nil if it was served.
+func (daemon *Daemon) End(request string, err error) {
+	if err == nil {
+		daemon.metrics.served.Inc(1)
+		daemon.journal.End(request, "served")
+		return
+	}
+	failure := dragonflyhatch.FailureOf(err)
+	if failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
+		daemon.metrics.unknown.Inc(1)
+	} else {
+		daemon.metrics.refused.Inc(1)
+	}
+	daemon.journal.End(request, failure.Error())
+}
+
+// Leaving says whether the daemon is stopping.
+func (daemon *Daemon) Leaving() bool {
+	return daemon.leaving.Load()
+}
