--- a/hatchclaim/commit.go
+++ b/hatchclaim/commit.go
@@ -24,8 +24,7 @@
 		return
 	}
 	if !shard.fresh {
-		shard.transfer = readingHead
-		shard.act(ReadHead{})
+		shard.readHead()
 		return
 	}
 	if name, ok := shard.unloaded(); ok {
@@ -35,13 +34,18 @@
 	}
 	shard.settle(now)
 	if shard.awaitsForeign() && !now.Before(shard.nextRead) {
-		shard.transfer = readingHead
-		shard.act(ReadHead{})
+		shard.readHead()
 		return
 	}
 	shard.write(now)
 }
 
+func (shard *Shard) readHead() {
+	shard.transfer = readingHead
+	shard.asked++
+	shard.act(ReadHead{})
+}
+
 // wanted says whether any entry needs the platform.
 func (shard *Shard) wanted() bool {
 	for _, entry := range shard.entries {
@@ -98,7 +102,7 @@
 		entry.digest = claim.Digest
 		shard.granted(entry)
 	default:
-		shard.reject(entry, claim.Digest)
+		shard.rejectOpen(entry, claim.Digest)
 		shard.settleForeign(now, entry)
 	}
 }
@@ -117,16 +121,14 @@
 	}
 }
 
-// settleReleased runs a released request again if somebody has asked for it
-// since; the claim is still in place and only this process can use it.
+// settleReleased finds out that a release was applied though its reply was
+// lost. A claim that is still in place is not used again: a late release could
+// drop it while the request runs.
 func (shard *Shard) settleReleased(now time.Time, entry *entry) {
-	if _, found := shard.lookup(entry.id); !found {
+	claim, found := shard.lookup(entry.id)
+	if !found || claim.Owner != shard.self {
 		entry.phase = waiting
 		shard.settleUnclaimed(now, entry)
-		return
-	}
-	if _, wanted := entry.first(entry.digest); wanted {
-		shard.granted(entry)
 	}
 }
 
@@ -174,7 +176,7 @@
 		return
 	}
 	for _, entry := range shard.entries {
-		entry.writing = entry.pending()
+		entry.writing = entry.pending() && !entry.keyTime.Before(next.Horizon)
 		if entry.writing && entry.phase == waiting {
 			entry.phase = committing
 			entry.digest = entry.waiters[0].digest
@@ -200,6 +202,7 @@
 // pending returns the head with all pending changes, and whether there are any.
 func (shard *Shard) pending(now time.Time) (Head, bool) {
 	next := shard.head.copied()
+	shard.forget(&next, now)
 	changed := false
 	for _, entry := range shard.ordered() {
 		if !entry.pending() {
@@ -208,19 +211,19 @@
 		changed = true
 		switch entry.phase {
 		case waiting, committing:
+			if entry.keyTime.Before(next.Horizon) {
+				continue // answered once the horizon is written
+			}
 			shard.own(&next)
 			next.Claims = append(next.Claims, Claim{
 				ID: entry.id, Digest: entry.waiters[0].digest, KeyTime: entry.keyTime, Owner: shard.self,
 			})
 		case finished:
-			setOutcome(next.Claims, entry.id, entry.outcome)
+			shard.setOutcome(next.Claims, entry.id, entry.outcome)
 		case released:
-			next.Claims = slices.DeleteFunc(next.Claims, func(claim Claim) bool { return claim.ID == entry.id })
+			next.Claims = slices.DeleteFunc(next.Claims, func(claim Claim) bool { return shard.mine(claim, entry.id) })
 		}
 	}
-	if changed {
-		shard.forget(&next, now)
-	}
 	return next, changed
 }
 
@@ -232,9 +235,14 @@
 	}
 }
 
-func setOutcome(claims []Claim, id ID, outcome *Outcome) {
+// mine says whether the claim is this process's own for the request.
+func (shard *Shard) mine(claim Claim, id ID) bool {
+	return claim.ID == id && claim.Owner == shard.self
+}
+
+func (shard *Shard) setOutcome(claims []Claim, id ID, outcome *Outcome) {
 	for i := range claims {
-		if claims[i].ID == id {
+		if shard.mine(claims[i], id) {
 			claims[i].Outcome = outcome
 		}
 	}
--- a/hatchclaim/events.go
+++ b/hatchclaim/events.go
@@ -18,6 +18,7 @@
 	shard.troubled = false
 	shard.fresh = true
 	shard.head, shard.version = head, version
+	shard.seen = shard.asked
 	shard.nextRead = now.Add(shard.options.ReadInterval)
 	return shard.step(now)
 }
--- a/hatchclaim/shard.go
+++ b/hatchclaim/shard.go
@@ -80,6 +80,7 @@
 	name     uint64
 	digest   string
 	deadline time.Time
+	since    int // reads of the head asked for when the waiter came
 	repeated bool
 }
 
@@ -107,6 +108,8 @@
 	fresh    bool // head is as current as this process can know
 	head     Head
 	version  uint64
+	asked    int             // reads of the head asked for
+	seen     int             // number of the read that the head comes from
 	sealed   map[ID]Claim    // claims of the loaded segments
 	loaded   map[string]bool // segments that sealed covers
 	sealing  []Claim         // claims of the segment being created
@@ -142,7 +145,7 @@
 
 // Submit takes an order. The order is answered once by an Answer action.
 func (shard *Shard) Submit(now time.Time, order Order) []Action {
-	waiter := waiter{name: order.Waiter, digest: order.Digest, deadline: order.Deadline}
+	waiter := waiter{name: order.Waiter, digest: order.Digest, deadline: order.Deadline, since: shard.asked}
 	known, ok := shard.entries[order.ID]
 	if !ok {
 		known = &entry{id: order.ID, keyTime: order.KeyTime}
@@ -249,9 +252,19 @@
 
 // reject answers the waiters whose request is not the one of the digest.
 func (shard *Shard) reject(entry *entry, digest string) {
+	shard.rejectIf(entry, digest, func(waiter) bool { return true })
+}
+
+// rejectOpen answers them by another process's open claim. Such a claim may be
+// given back and replaced, so only a head read since the waiter came counts.
+func (shard *Shard) rejectOpen(entry *entry, digest string) {
+	shard.rejectIf(entry, digest, func(waiter waiter) bool { return waiter.since < shard.seen })
+}
+
+func (shard *Shard) rejectIf(entry *entry, digest string, certain func(waiter) bool) {
 	kept := entry.waiters[:0]
 	for _, waiter := range entry.waiters {
-		if waiter.digest == digest {
+		if waiter.digest == digest || !certain(waiter) {
 			kept = append(kept, waiter)
 			continue
 		}
