--- a/hatchconfig/check.go
+++ b/hatchconfig/check.go
@@ -33,12 +33,6 @@
 	decoder := newDecoder(file)
 	configuration := new(Configuration)
 	decoder.decode(tree, "", reflect.ValueOf(configuration).Elem())
-	if len(decoder.faults) > 0 {
-		// A field that cannot be read would raise false alarms below, so
-		// only the checks of single values go on.
-		configuration.checkValues(decoder)
-		return nil, decoder.faults
-	}
 	configuration.checkValues(decoder)
 	configuration.checkReferences(decoder)
 	if len(decoder.faults) > 0 {
@@ -99,7 +93,8 @@
 	}
 }
 
-// checkReferences checks what several values say together.
+// checkReferences checks what several values say together, leaving out those
+// that have a fault already.
 func (configuration *Configuration) checkReferences(decoder *decoder) {
 	hashes := make(map[TokenHash]string)
 	for name, organisation := range sorted(configuration.Organisations) {
@@ -115,14 +110,7 @@
 	for name, engine := range sorted(configuration.Engines) {
 		path := join("engines", name)
 		decoder.checkUnique(addresses, path+".address", engine.Address, name)
-		model, ok := configuration.Models[engine.Model]
-		switch {
-		case !ok:
-			decoder.faultAt(path+".model", "names no model of this configuration: %q", engine.Model)
-		case engine.FirstLayer < 0 || engine.EndLayer <= engine.FirstLayer || engine.EndLayer > model.Layers:
-			decoder.faultAt(path+".endLayer", "[%d, %d) is not a range of the model's %d layers",
-				engine.FirstLayer, engine.EndLayer, model.Layers)
-		}
+		configuration.checkEngineLayers(decoder, path, engine)
 	}
 	for service := range sorted(configuration.Services) {
 		for name, replica := range sorted(configuration.Services[service].Replicas) {
@@ -132,6 +120,20 @@
 	}
 }
 
+func (configuration *Configuration) checkEngineLayers(decoder *decoder, path string, engine Engine) {
+	if !decoder.sound(path) || !decoder.sound(join("models", engine.Model)) {
+		return
+	}
+	model, ok := configuration.Models[engine.Model]
+	switch {
+	case !ok:
+		decoder.faultAt(path+".model", "names no model of this configuration: %q", engine.Model)
+	case engine.FirstLayer < 0 || engine.EndLayer <= engine.FirstLayer || engine.EndLayer > model.Layers:
+		decoder.faultAt(path+".endLayer", "[%d, %d) is not a range of the model's %d layers",
+			engine.FirstLayer, engine.EndLayer, model.Layers)
+	}
+}
+
 func (configuration *Configuration) setDefaults() {
 	for name, organisation := range configuration.Organisations {
 		organisation.Share = cmp.Or(organisation.Share, 1)
@@ -152,6 +154,13 @@
 	return slices.ContainsFunc(decoder.faults, func(fault Fault) bool { return fault.Field == path })
 }
 
+// sound says whether no fault has been found at the field or below it.
+func (decoder *decoder) sound(path string) bool {
+	return !slices.ContainsFunc(decoder.faults, func(fault Fault) bool {
+		return fault.Field == path || strings.HasPrefix(fault.Field, path+".")
+	})
+}
+
 // checkName allows what can stand in a URL, a metric and a log line as it is.
 func (decoder *decoder) checkName(path, name string) {
 	valid := func(r rune) bool {
@@ -192,6 +201,9 @@
 }
 
 func (decoder *decoder) checkUnique(seen map[string]string, path, address, name string) {
+	if !decoder.given(path) {
+		return
+	}
 	if other, ok := seen[address]; ok {
 		decoder.faultAt(path, "is also the address of %s", other)
 	}
--- a/hatchconfig/configuration.go
+++ b/hatchconfig/configuration.go
@@ -1,6 +1,7 @@
 package hatchconfig
 
 import (
+	"slices"
 	"strings"
 
 	"dragonflyhatch"
@@ -72,23 +73,22 @@
 // Resolve merges the base with the overlay of the site, if there is one, and
 // checks the result; the error is of type Faults.
 func Resolve(accepted dragonflyhatch.AcceptedConfiguration, site string) (*Configuration, error) {
-	base, faults := parse(accepted.Base.Name, accepted.Base.Text)
-	if len(faults) > 0 {
-		return nil, faults.err()
-	}
-	merged := base
+	merged, faults := parse(accepted.Base.Name, accepted.Base.Text)
 	for _, overlay := range accepted.Overlays {
-		if overlay.Site != site {
+		if overlay.Site != site || merged == nil {
 			continue
 		}
-		tree, faults := parse(overlay.Name, overlay.Text)
-		if len(faults) > 0 {
-			return nil, faults.err()
+		tree, overlayFaults := parse(overlay.Name, overlay.Text)
+		faults = append(faults, overlayFaults...)
+		if tree != nil {
+			merged = merge(merged, tree)
 		}
-		merged = merge(merged, tree)
 	}
-	configuration, faults := resolveTree(merged, accepted.Base.Name)
-	if len(faults) > 0 {
+	if merged == nil {
+		return nil, faults.err()
+	}
+	configuration, resolveFaults := resolveTree(merged, accepted.Base.Name)
+	if faults = append(faults, resolveFaults...); len(faults) > 0 {
 		return nil, faults.err()
 	}
 	configuration.Version = accepted.Version
@@ -102,8 +102,9 @@
 	var faults Faults
 	sites := []string{""}
 	for _, overlay := range accepted.Overlays {
-		if overlay.Site == "" {
-			faults = append(faults, Fault{Position{overlay.Name, 1}, "", "the overlay names no site"})
+		if slices.Contains(sites, overlay.Site) {
+			faults = append(faults, Fault{Position{overlay.Name, 1}, "", "the overlay names no site, or one that has an overlay already"})
+			continue
 		}
 		sites = append(sites, overlay.Site)
 	}
--- a/hatchconfig/settings.go
+++ b/hatchconfig/settings.go
@@ -81,10 +81,11 @@
 // is of type Faults.
 func ReadSettings(file, text string) (*Settings, error) {
 	tree, faults := parse(file, text)
-	if len(faults) > 0 {
+	if tree == nil {
 		return nil, faults.err()
 	}
 	decoder := newDecoder(file)
+	decoder.faults = faults
 	settings := &Settings{Limits: DefaultLimits(), Timing: DefaultTiming()}
 	decoder.decode(tree, "", reflect.ValueOf(settings).Elem())
 	settings.check(decoder)
