Load tool, and whole fleets as processes under kills, freezes, outages and stops

hatchload sends a seeded trace as callers do and checks each answer's text and how often each order ran; hatchproof runs fleets of separate processes and breaks them. Verdicts hang on broken promises only, not on times.

Found on the way: all callers behind one address got the same order of entry hosts, so that kept answers did not spread the load (kills showed 0 reconnects). Cause: the order was drawn from the caller's IP and token. Now from the address with its port; ruled out: a random order for each question, which would make a caller's kept connections useless.

--- a/cmd/dragonflyhatch/load.go
+++ b/cmd/dragonflyhatch/load.go
@@ -2,14 +2,123 @@
 
 import (
 	"context"
+	"os"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"dragonflyhatch/hatchload"
 )
 
 func loadCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "load",
-		Usage:  "send a bounded load and print what became of it",
-		Action: func(context.Context, *cli.Command) error { return nil },
+		Name:      "load",
+		Usage:     "send a bounded load as callers do, and print what became of it",
+		ArgsUsage: "ENTRY...",
+		Description: "ENTRY is the caller address of an entry host to begin with. The load is generated\n" +
+			"from a seed or read from a trace file. With the stand-in systems behind the fleet,\n" +
+			"--model-version and --layers check each answer's text and --runs checks how often\n" +
+			"each order ran; a broken promise makes the command fail.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "token", Usage: "bearer token of an organisation; repeat for more", Required: true},
+			&cli.DurationFlag{Name: "promise", Value: 8 * time.Second, Usage: "deadline that counts as on time"},
+			&cli.StringFlag{Name: "model", Value: "assistant", Usage: "model of the completions"},
+			&cli.StringFlag{Name: "service", Value: "orders/standing", Usage: "service and path of the orders"},
+			&cli.StringFlag{Name: "read", Value: "orders/menu", Usage: "service and path of the repeatable calls"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the generated load"},
+			&cli.FloatFlag{Name: "rate", Value: 20, Usage: "requests a second"},
+			&cli.DurationFlag{Name: "duration", Value: 5 * time.Second, Usage: "length of the load"},
+			&cli.FloatFlag{Name: "orders", Value: 0.1, Usage: "share of the requests that are orders"},
+			&cli.FloatFlag{Name: "reads", Value: 0.1, Usage: "share of the requests that are repeatable calls"},
+			&cli.IntFlag{Name: "prefixes", Value: 20, Usage: "distinct beginnings of prompts"},
+			&cli.IntFlag{Name: "prompt-max", Value: 40, Usage: "longest prompt, in words beyond its beginning"},
+			&cli.IntFlag{Name: "max-tokens", Value: 32, Usage: "longest answer, in tokens"},
+			&cli.IntFlag{Name: "max-open", Value: 4096, Usage: "requests open at once"},
+			&cli.FloatFlag{Name: "capacity", Usage: "tokens a second that the engines can make, for the bound"},
+			&cli.StringFlag{Name: "model-version", Usage: "version that the stand-in engines hold, to check answers"},
+			&cli.IntFlag{Name: "layers", Usage: "layers of the stand-in model"},
+			&cli.StringFlag{Name: "runs", Usage: "address of the service stand-in, to check orders"},
+			&cli.StringFlag{Name: "trace", Usage: "file of a trace to send instead of a generated one"},
+			&cli.StringFlag{Name: "record", Usage: "file to write the trace to"},
+			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
+		},
+		Action: load,
+	}
+}
+
+func load(ctx context.Context, command *cli.Command) error {
+	items, err := readOrGenerate(command)
+	if err != nil {
+		return err
+	}
+	if command.Args().Len() == 0 {
+		return usageError{errors.New("load wants the address of an entry host")}
+	}
+	tokens := command.StringSlice("token")
+	plan := hatchload.Plan{
+		Entries:      command.Args().Slice(),
+		Tokens:       tokens,
+		Model:        command.String("model"),
+		ModelVersion: command.String("model-version"),
+		Layers:       command.Int("layers"),
+		Service:      command.String("service"),
+		ReadPath:     command.String("read"),
+		RunsAt:       command.String("runs"),
+		Capacity:     command.Float("capacity"),
+		MaxOpen:      command.Int("max-open"),
+	}
+	for range tokens {
+		plan.Promises = append(plan.Promises, command.Duration("promise"))
+	}
+	stop, _, end := stopContexts(ctx)
+	defer end()
+	report, err := hatchload.Run(stop, plan, items)
+	if err != nil {
+		return err
+	}
+	if command.Bool("json") {
+		err = printJSON(report)
+	} else {
+		report.Print(os.Stdout)
+	}
+	if faults := report.Faults(); faults > 0 {
+		return errors.Newf("%d promises were broken", faults)
+	}
+	return err
+}
+
+func readOrGenerate(command *cli.Command) ([]hatchload.Item, error) {
+	if name := command.String("trace"); name != "" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, usageError{err}
+		}
+		defer file.Close()
+		return hatchload.ReadTrace(file)
+	}
+	weights := make([]float64, len(command.StringSlice("token")))
+	for i := range weights {
+		weights[i] = 1 / float64(1+i) // a few large ones
+	}
+	items := hatchload.Generate(hatchload.Shape{
+		Seed:      command.Uint64("seed"),
+		Duration:  command.Duration("duration"),
+		Rate:      command.Float("rate"),
+		Weights:   weights,
+		Orders:    command.Float("orders"),
+		Reads:     command.Float("reads"),
+		Prefixes:  command.Int("prefixes"),
+		PromptMax: command.Int("prompt-max"),
+		MaxTokens: command.Int("max-tokens"),
+	})
+	name := command.String("record")
+	if name == "" {
+		return items, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, usageError{err}
 	}
+	return items, errors.CombineErrors(hatchload.WriteTrace(file, items), file.Close())
 }
--- a/hatchentry/callers.go
+++ b/hatchentry/callers.go
@@ -1,7 +1,6 @@
 package hatchentry
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -36,8 +35,8 @@
 }
 
 func (callers *callers) entries(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
-	caller, _, _ := net.SplitHostPort(request.RemoteAddr)
-	entries := callers.fleet.Entries(caller + request.Header.Get("Authorization"))
+	// The address with its port, so that callers behind one address spread too.
+	entries := callers.fleet.Entries(request.RemoteAddr)
 	if len(entries.Addresses) == 0 {
 		refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindLeaving, "no host of the fleet is known to serve"))
 		return
--- /dev/null
+++ b/hatchproof/fleet_test.go
@@ -0,0 +1,339 @@
+package hatchproof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchconfig"
+	"dragonflyhatch/hatchentry"
+	"dragonflyhatch/hatchload"
+	"dragonflyhatch/hatchstandin"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "hatchproof")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(directory, "dragonflyhatch")
+	build := exec.Command("go", "build", "-race", "-o", binary, "../cmd/dragonflyhatch")
+	if output, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v: %s", err, output))
+	}
+	code := m.Run()
+	os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+const (
+	operatorToken = "operator"
+	callerToken   = "caller"
+	layers        = 12
+	modelVersion  = "v1"
+)
+
+// fleet is a platform, engines, a service and hosts, each its own process.
+type fleet struct {
+	t         *testing.T
+	directory string
+	platform  string
+	service   string
+	engines   []string
+	hosts     []*host
+	accepted  uint64 // version of the accepted configuration
+}
+
+// host is an entry host's process.
+type host struct {
+	settings hatchconfig.Settings
+	file     string
+	process  *exec.Cmd
+	ended    chan error
+	log      string
+}
+
+// freeAddresses returns loopback addresses that nobody listens on.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, count)
+	for i := range addresses {
+		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer socket.Close()
+		addresses[i] = socket.Addr().String()
+	}
+	return addresses
+}
+
+// startFleet starts everything and applies a configuration.
+func startFleet(t *testing.T, hostCount, pipelines int) *fleet {
+	t.Helper()
+	addresses := freeAddresses(t, 2+2*pipelines+3*hostCount)
+	fleet := &fleet{t: t, directory: t.TempDir(), platform: addresses[0], service: addresses[1]}
+	fleet.engines, addresses = addresses[2:2+2*pipelines], addresses[2+2*pipelines:]
+	fleet.start("platform", "standin", "platform", fleet.platform)
+	fleet.start("service", "standin", "service", fleet.service)
+	fleet.start("engines", "standin", "engine", fleet.write("engines.json", fleet.engineSpecs()))
+	fleet.await(fleet.platform, "/standin/counts")
+	fleet.await(fleet.service, "/standin/runs")
+	for _, engine := range fleet.engines {
+		fleet.await(engine, "/v1/state")
+	}
+	for i := range hostCount {
+		fleet.hosts = append(fleet.hosts, fleet.newHost(i, addresses[3*i:3*i+3]))
+		fleet.startHost(fleet.hosts[i])
+	}
+	for _, host := range fleet.hosts {
+		fleet.await(host.settings.OperatorAddress, "/healthz")
+	}
+	fleet.apply(fleet.hosts[0], "8s")
+	for _, host := range fleet.hosts {
+		fleet.await(host.settings.OperatorAddress, "/readyz")
+	}
+	return fleet
+}
+
+func (fleet *fleet) write(name string, value any) string {
+	fleet.t.Helper()
+	text, err := json.Marshal(value)
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	file := filepath.Join(fleet.directory, name)
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		fleet.t.Fatal(err)
+	}
+	return file
+}
+
+type engineSpec struct {
+	Address string `json:"address"`
+	hatchstandin.EngineSpec
+}
+
+func (fleet *fleet) engineSpecs() []engineSpec {
+	var specs []engineSpec
+	for i, address := range fleet.engines {
+		first := i % 2 * layers / 2
+		specs = append(specs, engineSpec{address, hatchstandin.EngineSpec{
+			Name: fmt.Sprintf("engine-%d", i), Model: "assistant", Version: modelVersion,
+			Layers:        dragonflyhatch.LayerRange{First: first, End: first + layers/2},
+			TokenInterval: hatchstandin.Duration(5 * time.Millisecond), Slots: 64, CacheBlocks: 256,
+		}})
+	}
+	return specs
+}
+
+func (fleet *fleet) start(name string, args ...string) (*exec.Cmd, chan error) {
+	fleet.t.Helper()
+	log, err := os.Create(filepath.Join(fleet.directory, name+".log"))
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	process := exec.Command(binary, args...)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		fleet.t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- process.Wait() }()
+	fleet.t.Cleanup(func() {
+		_ = process.Process.Kill()
+		log.Close()
+		if text, err := os.ReadFile(log.Name()); err == nil && fleet.t.Failed() {
+			fleet.t.Logf("log of %s:\n%s", name, lastLines(string(text), 40))
+		}
+	})
+	return process, ended
+}
+
+func lastLines(text string, count int) string {
+	lines := strings.Split(text, "\n")
+	return strings.Join(lines[max(0, len(lines)-count):], "\n")
+}
+
+func (fleet *fleet) newHost(i int, addresses []string) *host {
+	settings := hatchconfig.Settings{
+		Host: fmt.Sprintf("host-%d", i), Site: []string{"walu-bay", "toorak"}[i%2],
+		CallerAddress: addresses[0], OperatorAddress: addresses[1], PeerAddress: addresses[2],
+		Platform:  fleet.platform,
+		Peers:     []string{},
+		Operators: map[string]hatchconfig.Operator{"tester": {TokenHash: hatchconfig.HashToken(operatorToken)}},
+		Limits:    hatchconfig.DefaultLimits(),
+		Timing:    hatchconfig.DefaultTiming(),
+	}
+	for _, other := range fleet.hosts {
+		settings.Peers = append(settings.Peers, other.settings.PeerAddress)
+	}
+	settings.Timing.EntriesKept = hatchconfig.Duration(500 * time.Millisecond)
+	settings.Timing.StopBound = hatchconfig.Duration(20 * time.Second)
+	return &host{settings: settings, file: fleet.write(settings.Host+".json", settings)}
+}
+
+func (fleet *fleet) startHost(host *host) {
+	fleet.t.Helper()
+	host.process, host.ended = fleet.start(host.settings.Host, "serve", host.file)
+}
+
+func (fleet *fleet) await(address, path string) {
+	fleet.t.Helper()
+	for range 400 {
+		response, err := http.Get("http://" + address + path)
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	fleet.t.Fatalf("no answer from %s%s", address, path)
+}
+
+// put sends an order to a stand-in or an operator listener.
+func (fleet *fleet) put(address, path string, value any) (int, []byte) {
+	fleet.t.Helper()
+	body, err := json.Marshal(value)
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, []byte(err.Error())
+	}
+	defer response.Body.Close()
+	var answer bytes.Buffer
+	if _, err := answer.ReadFrom(response.Body); err != nil {
+		return 0, []byte(err.Error())
+	}
+	return response.StatusCode, answer.Bytes()
+}
+
+// get asks an operator listener or a stand-in.
+func (fleet *fleet) get(address, path string, into any) error {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// configuration is the fleet's configuration with the organisation's deadline.
+func (fleet *fleet) configuration(deadline string) dragonflyhatch.SourceFile {
+	hash, _ := hatchconfig.HashToken(callerToken).MarshalText()
+	var engines strings.Builder
+	for i, address := range fleet.engines {
+		first := i % 2 * layers / 2
+		fmt.Fprintf(&engines, `"engine-%d": {"address": %q, "site": "walu-bay", "model": "assistant", "version": %q, "firstLayer": %d, "endLayer": %d, "slots": 64},`,
+			i, address, modelVersion, first, first+layers/2)
+	}
+	return dragonflyhatch.SourceFile{Name: "base.hujson", Text: fmt.Sprintf(`{
+		"sealingKeys": ["AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="],
+		"organisations": {"office": {"tokenHashes": [%q], "deadline": %q}},
+		"models": {"assistant": {"layers": %d, "maxTokens": 64}},
+		"engines": {%s},
+		"services": {"orders": {"replicas": {"orders-0": {"address": %q, "site": "walu-bay"}}, "routes": [{"method": "GET", "path": "/menu", "repeatable": true}]}},
+	}`, hash, deadline, layers, engines.String(), fleet.service)}
+}
+
+// propose sends a configuration through a host and returns the answer.
+func (fleet *fleet) propose(at *host, ifVersion uint64, deadline string) (int, []byte) {
+	return fleet.put(at.settings.OperatorAddress, "/v1/configuration", hatchentry.Proposal{
+		IfVersion: ifVersion, Base: fleet.configuration(deadline),
+	})
+}
+
+func (fleet *fleet) apply(at *host, deadline string) {
+	fleet.t.Helper()
+	status, answer := fleet.propose(at, fleet.accepted, deadline)
+	if status != http.StatusOK {
+		fleet.t.Fatalf("configuration refused: %d %s", status, answer)
+	}
+	fleet.accepted++
+}
+
+// platformFaults switches the faults of the platform.
+func (fleet *fleet) platformFaults(faults hatchstandin.PlatformFaults) {
+	fleet.put(fleet.platform, "/standin/faults", faults)
+}
+
+func (fleet *fleet) serviceFaults(faults hatchstandin.ServiceFaults) {
+	fleet.put(fleet.service, "/standin/faults", faults)
+}
+
+func (fleet *fleet) engineFaults(i int, faults hatchstandin.EngineFaults) {
+	fleet.put(fleet.engines[i], "/standin/faults", faults)
+}
+
+func (host *host) signal(signal syscall.Signal) {
+	_ = host.process.Process.Signal(signal)
+}
+
+// load sends a seeded load while disturb runs, and returns the report.
+func (fleet *fleet) load(shape hatchload.Shape, disturb func()) *hatchload.Report {
+	fleet.t.Helper()
+	plan := hatchload.Plan{
+		Tokens: []string{callerToken}, Promises: []time.Duration{8 * time.Second},
+		Model: "assistant", ModelVersion: modelVersion, Layers: layers,
+		Service: "orders/standing", ReadPath: "orders/menu", RunsAt: fleet.service, MaxOpen: 4096,
+	}
+	for _, host := range fleet.hosts {
+		plan.Entries = append(plan.Entries, host.settings.CallerAddress)
+	}
+	shape.Weights, shape.Prefixes, shape.PromptMax = []float64{1}, 8, 20
+	if shape.MaxTokens == 0 {
+		shape.MaxTokens = 48
+	}
+	disturbed := make(chan struct{})
+	go func() {
+		defer close(disturbed)
+		disturb()
+	}()
+	report, err := hatchload.Run(context.Background(), plan, hatchload.Generate(shape))
+	<-disturbed
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	var text strings.Builder
+	report.Print(&text)
+	fleet.t.Log(text.String())
+	return report
+}
+
+// wantKept wants that no promise was broken and that most work was served.
+func (fleet *fleet) wantKept(report *hatchload.Report) {
+	fleet.t.Helper()
+	if faults := report.Faults(); faults > 0 {
+		fleet.t.Errorf("%d promises were broken", faults)
+	}
+	if report.Outcomes["served"] == 0 {
+		fleet.t.Error("nothing was served")
+	}
+}
--- a/hatchstandin/oracle.go
+++ b/hatchstandin/oracle.go
@@ -76,6 +76,12 @@
 	return text.String(), finish
 }
 
+// AnswerTokens returns the number of tokens of the whole answer.
+func AnswerTokens(generation dragonflyhatch.Generation) int {
+	length, _ := answerEnd(generation)
+	return length
+}
+
 // answerEnd returns the number of tokens of the answer and the finish reason.
 func answerEnd(generation dragonflyhatch.Generation) (int, string) {
 	if natural := answerLength(generation.Prompt, generation.Seed); natural <= generation.MaxTokens {
