--- /dev/null
+++ b/hatchanswer/assembler_test.go
@@ -0,0 +1,176 @@
+package hatchanswer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"dragonflyhatch"
+)
+
+// stream is a network that carries frames of several attempts and requests to
+// one assembler, late, twice, out of order or not at all. It is the oracle: the
+// text of each token says which attempt made it.
+type stream struct {
+	t         *rapid.T
+	assembler *Assembler
+	length    int
+	attempt   int
+	flying    []dragonflyhatch.Frame
+	delivered []Token
+	finishes  int
+	failures  int
+}
+
+func tokenText(request string, attempt, position int) string {
+	return fmt.Sprintf("%s/%d/%d ", request, attempt, position)
+}
+
+// begin starts an attempt: its frames are put on the way.
+func (stream *stream) begin() {
+	stream.attempt++
+	stream.assembler.Begin(stream.attempt)
+	stream.send("r", stream.attempt, stream.assembler.Next())
+}
+
+func (stream *stream) send(request string, attempt, from int) {
+	frame := dragonflyhatch.Frame{Request: request, Attempt: attempt, Kind: dragonflyhatch.FrameHeartbeat}
+	stream.flying = append(stream.flying, frame)
+	for position := from; position < stream.length; position++ {
+		frame.Kind, frame.Position, frame.Text = dragonflyhatch.FrameToken, position, tokenText(request, attempt, position)
+		stream.flying = append(stream.flying, frame)
+	}
+	frame.Kind, frame.Position, frame.Finish = dragonflyhatch.FrameFinish, stream.length, "stop"
+	stream.flying = append(stream.flying, frame)
+}
+
+// arrive hands the flying frame number i over; it stays on the way if twice.
+func (stream *stream) arrive(i int, twice bool) {
+	frame := stream.flying[i]
+	if !twice {
+		stream.flying = append(stream.flying[:i:i], stream.flying[i+1:]...)
+	}
+	before := stream.assembler.Next()
+	delivery, err := stream.assembler.Accept(frame)
+	for _, token := range delivery.Tokens {
+		stream.check(token)
+	}
+	if delivery.Finish != "" {
+		stream.finishes++
+		if len(stream.delivered) != stream.length {
+			stream.t.Fatalf("finished after %d of %d tokens", len(stream.delivered), stream.length)
+		}
+	}
+	if err != nil {
+		if stream.assembler.Next() != before {
+			stream.t.Fatalf("tokens were lost with %v", err)
+		}
+		stream.failures++
+		stream.begin()
+	}
+}
+
+// check wants the token to be the next one, of the attempt that is under way.
+func (stream *stream) check(token Token) {
+	if token.Position != len(stream.delivered) {
+		stream.t.Fatalf("token %d came in place %d", token.Position, len(stream.delivered))
+	}
+	if want := tokenText("r", stream.attempt, token.Position); token.Text != want {
+		stream.t.Fatalf("token %d is %q, want %q", token.Position, token.Text, want)
+	}
+	stream.delivered = append(stream.delivered, token)
+}
+
+// TestWholeAnswers holds that whatever the network does, the delivered text is
+// that of the oracle, each position once and in order, and that an answer is
+// done only when it is whole.
+func TestWholeAnswers(t *testing.T) {
+	failures := 0
+	rapid.Check(t, func(t *rapid.T) {
+		stream := &stream{t: t, assembler: NewAssembler("r", 0), length: rapid.IntRange(0, 100).Draw(t, "length")}
+		stream.begin()
+		stream.send("other", stream.attempt, 0)
+		draw := func() int { return rapid.IntRange(0, min(len(stream.flying)-1, 70)).Draw(t, "frame") }
+		t.Repeat(map[string]func(*rapid.T){
+			"inOrder": func(*rapid.T) {
+				for range 8 {
+					if len(stream.flying) > 0 {
+						stream.arrive(0, false)
+					}
+				}
+			},
+			"outOfOrder": func(*rapid.T) {
+				if len(stream.flying) > 0 {
+					stream.arrive(draw(), false)
+				}
+			},
+			"twice": func(*rapid.T) {
+				if len(stream.flying) > 0 {
+					stream.arrive(draw(), true)
+				}
+			},
+			"lose": func(*rapid.T) {
+				if len(stream.flying) > 0 {
+					i := draw()
+					stream.flying = append(stream.flying[:i:i], stream.flying[i+1:]...)
+				}
+			},
+			"fail": func(*rapid.T) {
+				stream.flying = append(stream.flying, dragonflyhatch.Frame{
+					Request: "r", Attempt: stream.attempt, Kind: dragonflyhatch.FrameFailure, Stage: "s",
+				})
+			},
+			"breakOff": func(*rapid.T) {
+				if err := stream.assembler.End(); err != nil {
+					stream.begin()
+				}
+			},
+		})
+		stream.flying = nil
+		if !stream.assembler.Done() {
+			stream.begin()
+		}
+		for len(stream.flying) > 0 {
+			stream.arrive(0, false)
+		}
+		if !stream.assembler.Done() || len(stream.delivered) != stream.length || stream.finishes != 1 {
+			t.Fatalf("%d of %d tokens, %d finishes", len(stream.delivered), stream.length, stream.finishes)
+		}
+		failures += stream.failures
+	})
+	t.Logf("%d attempts failed on the way", failures)
+}
+
+func TestPlacesAreSealed(t *testing.T) {
+	convey.Convey("Given a sealed place", t, func() {
+		old, err := NewSealer([32]byte{1})
+		convey.So(err, convey.ShouldBeNil)
+		place := Place{Request: "r", Organisation: "office", Digest: "d", Seed: 7, Version: "v1", Attempt: 2, Next: 5}
+		text, err := old.Seal(place)
+		convey.So(err, convey.ShouldBeNil)
+
+		convey.Convey("a host with a newer key opens it", func() {
+			sealer, err := NewSealer([32]byte{2}, [32]byte{1})
+			convey.So(err, convey.ShouldBeNil)
+			opened, err := sealer.Open(text)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(opened, convey.ShouldResemble, place)
+		})
+		convey.Convey("a host without the key does not", func() {
+			sealer, err := NewSealer([32]byte{2})
+			convey.So(err, convey.ShouldBeNil)
+			_, err = sealer.Open(text)
+			convey.So(err, convey.ShouldEqual, ErrNotSealed)
+		})
+		convey.Convey("no changed text opens", func() {
+			for i := range text {
+				changed := []byte(text)
+				changed[i] ^= 1
+				_, err := old.Open(string(changed))
+				convey.So(err, convey.ShouldEqual, ErrNotSealed)
+			}
+		})
+	})
+}
--- a/hatchclaim/commit.go
+++ b/hatchclaim/commit.go
@@ -243,7 +243,7 @@
 func (shard *Shard) setOutcome(claims []Claim, id ID, outcome *Outcome) {
 	for i := range claims {
 		if shard.mine(claims[i], id) {
-			claims[i].Outcome = outcome
+			claims[i].Outcome = outcome.recorded()
 		}
 	}
 }
--- a/hatchclaim/head.go
+++ b/hatchclaim/head.go
@@ -20,13 +20,17 @@
 	BodyOmitted bool                    `json:"bodyOmitted,omitempty"` // the body was too long to keep
 }
 
-// Record returns the outcome to keep of a reply.
-func Record(reply dragonflyhatch.ServiceReply) Outcome {
-	outcome := Outcome{Status: reply.Status, Headers: reply.Headers, Body: reply.Body}
-	if len(reply.Body) > maxRecordedBody {
-		outcome.Body, outcome.BodyOmitted = nil, true
+// OutcomeOf returns the outcome of a run that was answered with the reply.
+func OutcomeOf(reply dragonflyhatch.ServiceReply) *Outcome {
+	return &Outcome{Status: reply.Status, Headers: reply.Headers, Body: reply.Body}
+}
+
+// recorded returns the outcome as it is kept: without a body that is too long.
+func (outcome *Outcome) recorded() *Outcome {
+	if len(outcome.Body) <= maxRecordedBody {
+		return outcome
 	}
-	return outcome
+	return &Outcome{Status: outcome.Status, Headers: outcome.Headers, BodyOmitted: true}
 }
 
 // Claim is the right of one process to run a request, and later its outcome.
--- a/hatchclaim/shard_test.go
+++ b/hatchclaim/shard_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	"dragonflyhatch"
@@ -161,3 +162,25 @@
 	}
 	return Claim{}, false
 }
+
+// TestLongReplyIsPassedOnButNotRecorded holds that only repeats go without a
+// body that is too long to keep.
+func TestLongReplyIsPassedOnButNotRecorded(t *testing.T) {
+	convey.Convey("Given an order with a long reply", t, func() {
+		now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+		shard := NewShard(0, "p1")
+		order := Order{ID: ID{"office", "k"}, Digest: "d", KeyTime: now, Deadline: now.Add(time.Second), Waiter: 1}
+		shard.Submit(now, order)
+		shard.HeadRead(now, Head{}, 0, true)
+		shard.HeadWritten(now, 1, WriteApplied)
+		long := make([]byte, maxRecordedBody+1)
+		write := shard.RunDone(now, order.ID, RunResult{Outcome: &Outcome{Status: 200, Body: long}})[0].(WriteHead)
+		answers := shard.HeadWritten(now, 2, WriteApplied)
+		order.Waiter = 2
+		repeats := shard.Submit(now, order)
+		convey.So(answers[0].(Answer).Outcome.Body, convey.ShouldHaveLength, len(long))
+		convey.So(write.Head.Claims[0].Outcome.BodyOmitted, convey.ShouldBeTrue)
+		convey.So(repeats[0].(Answer).Outcome.BodyOmitted, convey.ShouldBeTrue)
+		convey.So(repeats[0].(Answer).Repeated, convey.ShouldBeTrue)
+	})
+}
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -9,6 +9,14 @@
 // maxAttempts bounds the attempts at one answer.
 const maxAttempts = 6
 
+// NextAttempt numbers the attempt that follows last. Engines let the highest
+// attempt at a request win, and a caller that reconnects makes another daemon
+// go on from the same place; by counting in milliseconds the later daemon's
+// attempt is the higher one, and two daemons hardly ever use the same number.
+func NextAttempt(last int, now time.Time) int {
+	return max(last+1, int(now.UnixMilli()))
+}
+
 // Attempts follows the attempts at one answer, which may be repeated: only the
 // tokens that are delivered count. It decides what follows a failure and what
 // the caller may be told at the end.
--- a/hatchroute/snapshot.go
+++ b/hatchroute/snapshot.go
@@ -58,7 +58,7 @@
 
 const (
 	pointsPerReplica = 16
-	maxChains        = 32 // of one model, over all versions
+	maxChains        = 32 // of one version of a model
 )
 
 // Drained says whether an address must get no new work.
@@ -79,7 +79,6 @@
 				snapshot.models[name] = append(snapshot.models[name], chain{version, list})
 			}
 		}
-		snapshot.models[name] = limit(snapshot.models[name], maxChains)
 	}
 	for name, service := range configuration.Services {
 		snapshot.services[name] = targets(service, configuration.Site, drained, tracks)
@@ -87,10 +86,6 @@
 	return snapshot
 }
 
-func limit(chains []chain, most int) []chain {
-	return chains[:min(len(chains), most)]
-}
-
 // modelGroups holds the groups of each version of each model.
 type modelGroups map[string]map[string][]*group
 
--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -94,7 +94,7 @@
 // that is known.
 func (completion *completion) try(ctx context.Context, choice hatchroute.Choice) (string, error) {
 	daemon := completion.daemon
-	completion.attempt++
+	completion.attempt = hatchretry.NextAttempt(completion.attempt, time.Now())
 	completion.version = choice.Pipeline.Version
 	completion.assembler.Begin(completion.attempt)
 	for _, stage := range choice.Pipeline.Stages {
--- a/hatchserve/orders.go
+++ b/hatchserve/orders.go
@@ -166,8 +166,7 @@
 		return failure.Kind.Answer().Ran == dragonflyhatch.RanNo
 	})
 	if err == nil {
-		outcome := hatchclaim.Record(reply)
-		return hatchclaim.RunResult{Outcome: &outcome}
+		return hatchclaim.RunResult{Outcome: hatchclaim.OutcomeOf(reply)}
 	}
 	failure := dragonflyhatch.FailureOf(err)
 	return hatchclaim.RunResult{Kind: failure.Kind, Detail: failure.Detail}
