A model that no replicas cover is known all the same

Cause: with the limit on chains moved, a model without chains had no entry and was answered notFound in place of upstreamUnavailable; the last commit was made with that test red, since a pipe hid the exit code. TestPipelinesCoverEachLayerOnce failed at its first check and passes 20000 now.

--- a/hatchroute/snapshot.go
+++ b/hatchroute/snapshot.go
@@ -73,6 +73,7 @@
 	}
 	groups := groupEngines(configuration, drained, tracks)
 	for name, model := range configuration.Models {
+		snapshot.models[name] = nil // the model is known, whether or not replicas cover it
 		for _, version := range slices.Sorted(maps.Keys(groups[name])) {
 			held := groups[name][version]
 			for _, list := range covers(held, 0, model.Layers, nil, nil) {
