--- a/hatchclaim/shard_test.go
+++ b/hatchclaim/shard_test.go
@@ -1,6 +1,7 @@
 package hatchclaim
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -11,7 +12,8 @@
 )
 
 // TestAtMostOnce drives a fleet through random orders, platform faults, kills,
-// pauses and take-overs. The world checks each run and each answer.
+// pauses and take-overs. The world checks each run, each answer of a process,
+// and each answer that an entry host gives after handing an order on.
 func TestAtMostOnce(t *testing.T) {
 	total := make(map[dragonflyhatch.Ran]int)
 	outcomes, steps := 0, 0
@@ -45,6 +47,18 @@
 				world.submit(process, id, digest, time.Second)
 			}
 		},
+		"forward": func(t *rapid.T) {
+			world.forwardDrawn(t)
+		},
+		"giveUp": func(t *rapid.T) {
+			open := slices.DeleteFunc(slices.Clone(world.forwards), func(forwarded *forwarded) bool { return forwarded.told })
+			if len(open) == 0 {
+				return
+			}
+			given := rapid.SampledFrom(open).Draw(t, "given")
+			given.forward.Silent()
+			world.handOn(given)
+		},
 		"serve": func(t *rapid.T) {
 			world.resolveDrawn(t, served)
 		},
@@ -93,6 +107,20 @@
 	world.submit(at, world.drawKey(t), drawDigest(t), time.Duration(patience)*time.Millisecond)
 }
 
+// forwardDrawn has an entry host hand an order to the processes in some order.
+func (world *world) forwardDrawn(t *rapid.T) {
+	order := world.newOrder(world.drawKey(t), drawDigest(t), 2*time.Second)
+	made := &forwarded{order: order, by: make(map[string]*process)}
+	var names []string
+	for _, process := range rapid.Permutation(world.processes).Draw(t, "owners") {
+		made.by[process.name] = process
+		names = append(names, process.name)
+	}
+	made.forward = NewForward(names)
+	world.forwards = append(world.forwards, made)
+	world.handOn(made)
+}
+
 // drawKey prefers keys that are in use.
 func (world *world) drawKey(t *rapid.T) ID {
 	if len(world.keys) == 0 || rapid.IntRange(0, 3).Draw(t, "new") == 0 {
--- a/hatchclaim/world_test.go
+++ b/hatchclaim/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -25,6 +26,20 @@
 	steps     int
 	answers   map[dragonflyhatch.Ran]int
 	outcomes  int
+	forwards  []*forwarded
+}
+
+// forwarded is an order that an entry host hands to one process after the other
+// until it has an answer for its caller.
+type forwarded struct {
+	forward *Forward
+	order   Order
+	by      map[string]*process
+	at      *process      // which has it now
+	handed  []*submission // to all processes so far
+	told    bool
+	kind    dragonflyhatch.Kind // if refused
+	refused bool
 }
 
 // run is one execution at the upstream.
@@ -48,6 +63,7 @@
 
 type submission struct {
 	order  Order
+	of     *forwarded // nil if submitted directly
 	joined bool // the key was dispatched here while it waited
 	ran    bool // the same request had run before it came
 }
@@ -97,12 +113,20 @@
 }
 
 func (world *world) submit(at *process, id ID, digest string, patience time.Duration) *submission {
+	return world.submitFor(nil, at, world.newOrder(id, digest, patience))
+}
+
+func (world *world) newOrder(id ID, digest string, patience time.Duration) Order {
+	return Order{ID: id, Digest: digest, KeyTime: world.keyTimes[id], Deadline: world.now.Add(patience)}
+}
+
+func (world *world) submitFor(of *forwarded, at *process, order Order) *submission {
 	at.lastWaiter++
-	order := Order{
-		ID: id, Digest: digest, KeyTime: world.keyTimes[id],
-		Deadline: world.now.Add(patience), Waiter: at.lastWaiter,
+	order.Waiter = at.lastWaiter
+	made := &submission{order: order, of: of, ran: world.ranAs(order.ID, order.Digest)}
+	if of != nil {
+		of.handed = append(of.handed, made)
 	}
-	made := &submission{order: order, ran: world.ranAs(id, digest)}
 	at.waiters[order.Waiter] = made
 	world.perform(at, at.shard.Submit(world.now, order))
 	return made
@@ -139,10 +163,68 @@
 	for _, waiting := range at.waiters {
 		if waiting.order.ID == dispatch.ID && waiting.order.Digest == asked.order.Digest {
 			waiting.joined = true
+			waiting.of.checkDispatch(world.t)
+		}
+	}
+}
+
+// checkDispatch wants no caller to have been told that what is dispatched now
+// was not run.
+func (forwarded *forwarded) checkDispatch(t *rapid.T) {
+	if forwarded != nil && forwarded.told && forwarded.refused && forwarded.kind.Answer().Ran == dragonflyhatch.RanNo {
+		t.Fatalf("%v is dispatched after its caller was told %v", forwarded.order.ID, forwarded.kind)
+	}
+}
+
+// handOn gives a forwarded order to the next process, or ends it.
+func (world *world) handOn(forwarded *forwarded) {
+	for !forwarded.told {
+		name, ok := forwarded.forward.Next()
+		if !ok {
+			forwarded.tell(world, forwarded.forward.End("no host is left"))
+			return
+		}
+		forwarded.at = forwarded.by[name]
+		if slices.Contains(world.processes, forwarded.at) {
+			world.submitFor(forwarded, forwarded.at, forwarded.order)
+			return
+		}
+	}
+}
+
+// tell gives the caller of a forwarded order its answer.
+func (forwarded *forwarded) tell(world *world, failure *dragonflyhatch.Failure) {
+	forwarded.told = true
+	if failure == nil {
+		return
+	}
+	forwarded.refused, forwarded.kind = true, failure.Kind
+	if failure.Kind.Answer().Ran != dragonflyhatch.RanNo {
+		return
+	}
+	for _, handed := range forwarded.handed {
+		if handed.joined && world.ranAs(handed.order.ID, handed.order.Digest) {
+			world.t.Fatalf("the caller of %v is told %v, and it ran", forwarded.order.ID, failure.Kind)
 		}
 	}
 }
 
+// answered takes a process's answer to a forwarded order.
+func (forwarded *forwarded) answered(world *world, at *process, answer Answer) {
+	if forwarded.told || forwarded.at != at {
+		return
+	}
+	if answer.Outcome != nil {
+		forwarded.tell(world, nil)
+		return
+	}
+	if final := forwarded.forward.Failed(&dragonflyhatch.Failure{Kind: answer.Kind}); final != nil {
+		forwarded.tell(world, final)
+		return
+	}
+	world.handOn(forwarded)
+}
+
 // checkAnswer holds an answer against the runs that happened.
 func (world *world) checkAnswer(at *process, answer Answer) {
 	asked, ok := at.waiters[answer.Waiter]
@@ -150,6 +232,9 @@
 		world.t.Fatalf("%s answers waiter %d twice", at.name, answer.Waiter)
 	}
 	delete(at.waiters, answer.Waiter)
+	if asked.of != nil {
+		defer asked.of.answered(world, at, answer)
+	}
 	id, digest := asked.order.ID, asked.order.Digest
 	if answer.Outcome != nil {
 		world.outcomes++
