--- a/hatchserve/configuration_test.go
+++ b/hatchserve/configuration_test.go
@@ -48,6 +48,18 @@
 	inForce  map[*Daemon]uint64
 }
 
+func newOperators(t *rapid.T) *operators {
+	operators := &operators{
+		t: t, platform: newFakePlatform(),
+		told: make(map[int]error), inForce: make(map[*Daemon]uint64),
+	}
+	operators.platform.ask = operators.fate
+	for _, host := range []string{"a", "b", "c"} {
+		operators.daemons = append(operators.daemons, newTestDaemon(host, operators.platform))
+	}
+	return operators
+}
+
 func (operators *operators) propose(at *Daemon) {
 	operators.marks++
 	mark := operators.marks
@@ -138,39 +150,48 @@
 	}
 }
 
+// inVirtualTime runs in a bubble of virtual time; a panic, by which rapid ends a
+// check, goes on outside of it.
+func inVirtualTime(t *testing.T, run func()) {
+	var reason any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { reason = recover() }()
+		run()
+	})
+	// rapid tells its own signals from failures by where a panic comes from.
+	if fmt.Sprintf("%T", reason) == "rapid.invalidData" {
+		panic(reason)
+	}
+	if reason != nil {
+		panic(reason)
+	}
+}
+
 // TestConfigurationNeverReverts holds that of proposals for one version exactly
 // one is accepted, that every operator is told the truth, and that no daemon's
 // version goes down, whatever the platform loses and whatever is heard late.
 func TestConfigurationNeverReverts(t *testing.T) {
 	accepted, told, unknown := 0, 0, 0
-	rapid.Check(t, func(rt *rapid.T) {
-		synctest.Test(t, func(*testing.T) {
-			operators := &operators{
-				t: rt, platform: newFakePlatform(),
-				told: make(map[int]error), inForce: make(map[*Daemon]uint64),
-			}
-			operators.platform.ask = operators.fate
-			for _, host := range []string{"a", "b", "c"} {
-				operators.daemons = append(operators.daemons, newTestDaemon(host, operators.platform))
-			}
-			rt.Repeat(map[string]func(*rapid.T){
-				"propose": func(t *rapid.T) { operators.propose(rapid.SampledFrom(operators.daemons).Draw(t, "at")) },
-				"follow":  operators.follow,
-				"replay":  operators.replay,
-				"restart": func(t *rapid.T) {
-					i := rapid.IntRange(0, len(operators.daemons)-1).Draw(t, "restarted")
-					operators.daemons[i] = newTestDaemon("restarted", operators.platform)
-				},
-				"": operators.check,
-			})
-			accepted += len(operators.accepted)
-			told += len(operators.told)
-			for _, err := range operators.told {
-				if err != nil && dragonflyhatch.KindOf(err).Answer().Ran == dragonflyhatch.RanUnknown {
-					unknown++
-				}
-			}
+	check := func(t *rapid.T) {
+		operators := newOperators(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"propose": func(t *rapid.T) { operators.propose(rapid.SampledFrom(operators.daemons).Draw(t, "at")) },
+			"follow":  operators.follow,
+			"replay":  operators.replay,
+			"restart": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(operators.daemons)-1).Draw(t, "restarted")
+				operators.daemons[i] = newTestDaemon("restarted", operators.platform)
+			},
+			"": operators.check,
 		})
-	})
+		accepted += len(operators.accepted)
+		told += len(operators.told)
+		for _, err := range operators.told {
+			if err != nil && dragonflyhatch.KindOf(err).Answer().Ran == dragonflyhatch.RanUnknown {
+				unknown++
+			}
+		}
+	}
+	rapid.Check(t, func(rt *rapid.T) { inVirtualTime(t, func() { check(rt) }) })
 	t.Logf("%d proposals, %d accepted, %d told unknown", told, accepted, unknown)
 }
