--- a/hatchclaim/world_test.go
+++ b/hatchclaim/world_test.go
@@ -64,8 +64,8 @@
 type submission struct {
 	order  Order
 	of     *forwarded // nil if submitted directly
-	joined bool // the key was dispatched here while it waited
-	ran    bool // the same request had run before it came
+	joined bool       // the key was dispatched here while it waited
+	ran    bool       // the same request had run before it came
 }
 
 // fakePlatform is the shard's object with writes that arrive late.
--- a/hatchmember/daemons.go
+++ b/hatchmember/daemons.go
@@ -35,7 +35,7 @@
 	Daemon
 	version   uint64 // of the registration
 	failures  int    // calls in a row that this daemon made in vain
-	lastHeard time.Time
+	lastTried time.Time
 }
 
 // NewDaemons returns the view of the daemon named self.
@@ -66,20 +66,67 @@
 	}
 }
 
-// Answered notes that a call to the host came through.
-func (daemons *Daemons) Answered(host string, now time.Time, leaving bool) {
+// Answered notes that a call of this daemon to the host came through.
+func (daemons *Daemons) Answered(host string, now time.Time) {
 	if known, ok := daemons.known[host]; ok {
 		known.failures = 0
-		known.lastHeard = now
-		known.Leaving = known.Leaving || leaving
+		known.lastTried = now
 	}
 }
 
-// Failed notes that a call to the host did not come through.
-func (daemons *Daemons) Failed(host string) {
-	if known, ok := daemons.known[host]; ok {
-		known.failures++
+// Said takes what a process says of itself. It may not be registered yet; a
+// process that leaves never comes back, but its host may, with another one.
+func (daemons *Daemons) Said(host, process string, leaving bool) {
+	known, ok := daemons.known[host]
+	if !ok {
+		return
+	}
+	if known.Process != process {
+		known.Process, known.Leaving = process, false
+	}
+	known.Leaving = known.Leaving || leaving
+}
+
+// Failed notes that a call to the host did not come through, and says whether
+// the host has become suspect by it.
+func (daemons *Daemons) Failed(host string) bool {
+	known, ok := daemons.known[host]
+	if !ok {
+		return false
+	}
+	known.failures++
+	return known.failures == suspectAfter
+}
+
+// Suspects returns the hosts that do not answer this daemon.
+func (daemons *Daemons) Suspects() []string {
+	var hosts []string
+	for _, host := range slices.Sorted(maps.Keys(daemons.known)) {
+		if daemons.known[host].suspect() {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// warnInterval is how long a daemon's own contact with a host outweighs the
+// warning of another.
+const warnInterval = time.Second
+
+// Warned takes the word of another daemon that hosts do not answer it. It
+// returns those that this daemon should call to see for itself; nothing else
+// follows from the word of others.
+func (daemons *Daemons) Warned(hosts []string, now time.Time) []Daemon {
+	var toCall []Daemon
+	for _, host := range hosts {
+		known, ok := daemons.known[host]
+		if !ok || host == daemons.self || known.suspect() || now.Sub(known.lastTried) < warnInterval {
+			continue
+		}
+		known.lastTried = now
+		toCall = append(toCall, known.Daemon)
 	}
+	return toCall
 }
 
 func (member *member) suspect() bool {
--- a/hatchmember/fact.go
+++ b/hatchmember/fact.go
@@ -10,6 +10,8 @@
 // Facts holds what is known of leaving upstreams, by address and source.
 type Facts struct {
 	drains map[factKey]dragonflyhatch.Drain
+	shared []factKey // facts to tell others, the latest news last
+	next   int       // place in shared that the next round of old news begins at
 }
 
 type factKey struct {
@@ -31,9 +33,39 @@
 		return false
 	}
 	facts.drains[key] = drain
+	// That an upstream is live is worth telling only after it was leaving.
+	if place := slices.Index(facts.shared, key); place >= 0 {
+		facts.shared = slices.Delete(facts.shared, place, place+1)
+	} else if !drain.Leaving {
+		return true
+	}
+	facts.shared = append(facts.shared, key)
 	return true
 }
 
+// Share returns at most count facts to tell another daemon: the latest news in
+// half of them, older ones in turn in the rest.
+func (facts *Facts) Share(count int) []dragonflyhatch.Drain {
+	if len(facts.shared) <= count {
+		return facts.list(facts.shared)
+	}
+	old := len(facts.shared) - count/2
+	keys := slices.Clone(facts.shared[old:])
+	for range count - count/2 {
+		keys = append(keys, facts.shared[facts.next%old])
+		facts.next = (facts.next + 1) % old
+	}
+	return facts.list(keys)
+}
+
+func (facts *Facts) list(keys []factKey) []dragonflyhatch.Drain {
+	list := make([]dragonflyhatch.Drain, len(keys))
+	for i, key := range keys {
+		list[i] = facts.drains[key]
+	}
+	return list
+}
+
 // newer orders facts of one source by version; of equal ones leaving wins.
 func newer(a, b dragonflyhatch.Drain) bool {
 	if a.Version != b.Version {
--- a/hatchpeer/messages.go
+++ b/hatchpeer/messages.go
@@ -81,8 +81,10 @@
 func encodeHeartbeat(heartbeat dragonflyhatch.Heartbeat) *HeartbeatMessage {
 	message := &HeartbeatMessage{
 		Host:                 heartbeat.Host,
+		Process:              heartbeat.Process,
 		ConfigurationVersion: heartbeat.ConfigurationVersion,
 		Leaving:              heartbeat.Leaving,
+		Suspects:             heartbeat.Suspects,
 	}
 	for _, drain := range heartbeat.Drains {
 		message.Drains = append(message.Drains, &DrainFact{
@@ -95,8 +97,10 @@
 func decodeHeartbeat(message *HeartbeatMessage) dragonflyhatch.Heartbeat {
 	heartbeat := dragonflyhatch.Heartbeat{
 		Host:                 message.GetHost(),
+		Process:              message.GetProcess(),
 		ConfigurationVersion: message.GetConfigurationVersion(),
 		Leaving:              message.GetLeaving(),
+		Suspects:             message.GetSuspects(),
 	}
 	for _, fact := range message.GetDrains() {
 		heartbeat.Drains = append(heartbeat.Drains, dragonflyhatch.Drain{
--- a/hatchserve/daemon.go
+++ b/hatchserve/daemon.go
@@ -45,8 +45,9 @@
 
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
-	caught  chan struct{} // closed once the first view is in place
-	once    sync.Once
+	news    chan struct{} // holds a value while there is news to tell peers
+
+	newsLeft atomic.Int32 // rounds in which it is still to be told
 
 	mu      sync.Mutex // guards the fleet's state below and the replacement of the view
 	daemons *hatchmember.Daemons
@@ -103,7 +104,7 @@
 		journal: hatchaudit.NewJournal(settings.Host),
 		tracks:  hatchroute.NewTracks(),
 		budget:  hatchretry.NewBudget(),
-		caught:  make(chan struct{}),
+		news:    make(chan struct{}, 1),
 		daemons: hatchmember.NewDaemons(settings.Host),
 		facts:   hatchmember.NewFacts(),
 		started: time.Now(),
@@ -150,11 +151,15 @@
 	group.Wait()
 }
 
-// pause waits for about the duration; it returns false once ctx is done. The
-// spread keeps daemons that were disturbed together from acting together.
+// spread returns about the duration; daemons that were disturbed together do
+// not go on acting together.
+func (daemon *Daemon) spread(duration time.Duration) time.Duration {
+	return duration/2 + time.Duration(daemon.random.Int64N(int64(duration)))
+}
+
+// pause waits for about the duration; it returns false once ctx is done.
 func (daemon *Daemon) pause(ctx context.Context, duration time.Duration) bool {
-	spread := duration/2 + time.Duration(daemon.random.Int64N(int64(duration)))
-	timer := time.NewTimer(spread)
+	timer := time.NewTimer(daemon.spread(duration))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/hatchserve/heartbeat.go
+++ b/hatchserve/heartbeat.go
@@ -10,20 +10,61 @@
 	"dragonflyhatch/hatchmember"
 )
 
-// beatsEach is the number of peers that one round of heartbeats goes to.
-const beatsEach = 3
-
-// maxDrainsSent bounds the facts in one heartbeat.
-const maxDrainsSent = 16
+const (
+	newsFanout    = 3                      // peers that news is told to at once
+	newsRounds    = 3                      // times that it is told
+	newsPause     = 100 * time.Millisecond // between two rounds of news
+	maxDrainsSent = 16
+	maxSuspects   = 8
+)
 
-// beat exchanges heartbeats with random peers until ctx is done.
+// beat exchanges heartbeats with a random peer now and then, and tells news to
+// a few peers at once, until ctx is done.
 func (daemon *Daemon) beat(ctx context.Context) {
-	for daemon.pause(ctx, time.Duration(daemon.settings.Timing.Heartbeat)) {
+	for ctx.Err() == nil {
+		fanout := 1
+		if daemon.awaitNews(ctx, time.Duration(daemon.settings.Timing.Heartbeat)) {
+			fanout = newsFanout
+		}
 		var group conc.WaitGroup
-		for _, peer := range daemon.randomPeers(beatsEach) {
+		for _, peer := range daemon.randomPeers(fanout) {
 			group.Go(func() { daemon.beatOne(ctx, peer) })
 		}
 		group.Wait()
+		if fanout == 1 {
+			continue
+		}
+		if daemon.newsLeft.Add(-1) > 0 {
+			daemon.signalNews()
+		}
+		daemon.pause(ctx, newsPause)
+	}
+}
+
+// awaitNews waits for about the duration, or returns true at once if there is
+// news to tell.
+func (daemon *Daemon) awaitNews(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(daemon.spread(duration))
+	defer timer.Stop()
+	select {
+	case <-daemon.news:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// tell has news told to peers soon, a few times.
+func (daemon *Daemon) tell() {
+	daemon.newsLeft.Store(newsRounds)
+	daemon.signalNews()
+}
+
+func (daemon *Daemon) signalNews() {
+	select {
+	case daemon.news <- struct{}{}:
+	default:
 	}
 }
 
@@ -35,17 +76,34 @@
 	return peers[:min(len(peers), count)]
 }
 
-// beatOne exchanges heartbeats with one peer and says whether it answered.
+// beatOne exchanges heartbeats with one peer and says whether it answered. A
+// peer that does not is tried once more at once, and is then suspect.
 func (daemon *Daemon) beatOne(ctx context.Context, peer hatchmember.Daemon) bool {
+	for range 2 {
+		if daemon.beatOnce(ctx, peer) {
+			return true
+		}
+		daemon.mu.Lock()
+		suspect := daemon.daemons.Failed(peer.Host)
+		daemon.mu.Unlock()
+		if suspect {
+			daemon.logger.Warn("host does not answer", "host", peer.Host)
+			daemon.tell()
+		}
+	}
+	return false
+}
+
+func (daemon *Daemon) beatOnce(ctx context.Context, peer hatchmember.Daemon) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	answer, err := daemon.peer.Heartbeat(ctx, peer.PeerAddress, daemon.heartbeat())
 	if err != nil {
-		daemon.mu.Lock()
-		daemon.daemons.Failed(peer.Host)
-		daemon.mu.Unlock()
 		return false
 	}
+	daemon.mu.Lock()
+	daemon.daemons.Answered(peer.Host, time.Now())
+	daemon.mu.Unlock()
 	daemon.takeHeartbeat(answer)
 	if answer.ConfigurationVersion > daemon.configurationVersion() {
 		if accepted, err := daemon.peer.Configuration(ctx, peer.PeerAddress); err == nil {
@@ -57,21 +115,26 @@
 
 func (daemon *Daemon) heartbeat() dragonflyhatch.Heartbeat {
 	daemon.mu.Lock()
-	drains := daemon.facts.List()
-	daemon.mu.Unlock()
-	daemon.random.Shuffle(len(drains), func(i, j int) { drains[i], drains[j] = drains[j], drains[i] })
+	defer daemon.mu.Unlock()
+	suspects := daemon.daemons.Suspects()
 	return dragonflyhatch.Heartbeat{
 		Host:                 daemon.settings.Host,
+		Process:              daemon.process,
 		ConfigurationVersion: daemon.configurationVersion(),
 		Leaving:              daemon.leaving.Load(),
-		Drains:               drains[:min(len(drains), maxDrainsSent)],
+		Drains:               daemon.facts.Share(maxDrainsSent),
+		Suspects:             suspects[:min(len(suspects), maxSuspects)],
 	}
 }
 
 func (daemon *Daemon) takeHeartbeat(heartbeat dragonflyhatch.Heartbeat) {
 	daemon.mu.Lock()
-	daemon.daemons.Answered(heartbeat.Host, time.Now(), heartbeat.Leaving)
+	daemon.daemons.Said(heartbeat.Host, heartbeat.Process, heartbeat.Leaving)
+	toCall := daemon.daemons.Warned(heartbeat.Suspects, time.Now())
 	daemon.mu.Unlock()
+	for _, peer := range toCall {
+		go daemon.beatOne(context.Background(), peer)
+	}
 	daemon.merge(heartbeat.Host, heartbeat.Drains...)
 }
 
@@ -81,12 +144,17 @@
 	return daemon.heartbeat()
 }
 
-// hostPoll is how often the platform's host list is read.
-const hostPoll = time.Second
+// The platform's host list is read once a second by a small fleet. Daemons of a
+// larger one take turns and tell each other, so that the platform is asked no
+// more often than by hostReaders daemons.
+const (
+	hostPoll    = time.Second
+	hostReaders = 16
+)
 
 // pollHosts follows the platform's host list until ctx is done.
 func (daemon *Daemon) pollHosts(ctx context.Context) {
-	for daemon.pause(ctx, hostPoll) {
+	for daemon.pause(ctx, daemon.hostPause()) {
 		hosts, err := daemon.platform.Hosts(ctx)
 		if err != nil {
 			continue
@@ -101,6 +169,12 @@
 	}
 }
 
+func (daemon *Daemon) hostPause() time.Duration {
+	daemon.mu.Lock()
+	defer daemon.mu.Unlock()
+	return hostPoll * time.Duration(1+len(daemon.daemons.Peers())/hostReaders)
+}
+
 // upstreamSaid records what an upstream says of itself.
 func (daemon *Daemon) upstreamSaid(address string, leaving bool) {
 	daemon.mu.Lock()
--- a/hatchserve/orders.go
+++ b/hatchserve/orders.go
@@ -132,14 +132,8 @@
 // supervise gives an order up when its owner stops answering heartbeats: it may
 // be frozen, and another daemon can find out from the claims what became of it.
 func (daemon *Daemon) supervise(ctx context.Context, giveUp context.CancelFunc, owner hatchmember.Daemon) {
-	failures := 0
 	for daemon.pause(ctx, supervisePause) {
-		if daemon.beatOne(ctx, owner) {
-			failures = 0
-			continue
-		}
-		failures++
-		if failures == 2 {
+		if !daemon.beatOne(ctx, owner) {
 			giveUp()
 			return
 		}
--- a/hatchserve/view.go
+++ b/hatchserve/view.go
@@ -37,7 +37,7 @@
 		return false
 	}
 	daemon.view.Store(next)
-	daemon.once.Do(func() { close(daemon.caught) })
+	daemon.tell()
 	daemon.logger.Info("configuration in force", "version", accepted.Version, "author", accepted.Author, "source", source)
 	return true
 }
@@ -82,8 +82,12 @@
 			daemon.logger.Info("upstream leaving", "address", drain.Address, "leaving", after, "by", drain.Source, "source", source)
 		}
 	}
+	if !news {
+		return
+	}
+	daemon.tell()
 	current := daemon.view.Load()
-	if !news || current == nil {
+	if current == nil {
 		return
 	}
 	next := *current
--- a/hatchstandin/engine.go
+++ b/hatchstandin/engine.go
@@ -64,6 +64,7 @@
 	orders  int           // orders carried out
 	held    map[string]*heldRequest
 	steps   []Step
+	begun   int // streams taken
 	slots   slotQueue
 	cache   prefixCache
 	loads   loadHistory
@@ -104,6 +105,7 @@
 	router.GET("/v1/state", engine.guard(engine.state))
 	router.PUT("/standin/faults", engine.setFaults)
 	router.GET("/standin/steps", engine.getSteps)
+	router.GET("/standin/streams", engine.getStreams)
 	return router
 }
 
@@ -161,6 +163,19 @@
 	writeJSON(writer, engine.steps)
 }
 
+// StreamCount says how many streams an engine has taken as a head, and how many
+// requests it has run layers for.
+type StreamCount struct {
+	Begun    int `json:"begun"`
+	Requests int `json:"requests"`
+}
+
+func (engine *Engine) getStreams(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	writeJSON(writer, StreamCount{engine.begun, len(engine.held)})
+}
+
 // Order tells an engine what to hold. Fencing comes from the lease object of
 // who gives the order.
 type Order struct {
--- a/hatchstandin/stream.go
+++ b/hatchstandin/stream.go
@@ -42,6 +42,9 @@
 	}
 	engine.mu.Lock()
 	leaving, silence := engine.faults.Leaving, engine.silence
+	if !leaving {
+		engine.begun++
+	}
 	engine.mu.Unlock()
 	if leaving {
 		writer.Header().Set("Not-Run", "true")
--- a/service.go
+++ b/service.go
@@ -55,9 +55,11 @@
 // Heartbeat is what daemons tell each other; docs/DECISIONS.md bounds its size.
 type Heartbeat struct {
 	Host                 string
+	Process              string
 	ConfigurationVersion uint64
 	Leaving              bool
 	Drains               []Drain
+	Suspects             []string // hosts that did not answer this one
 }
 
 // DrainSource says who knows that an upstream is leaving or not.
