--- a/hatchmember/daemons.go
+++ b/hatchmember/daemons.go
@@ -133,6 +133,15 @@
 	return member.failures >= suspectAfter
 }
 
+// Find returns the daemon on the host, or false.
+func (daemons *Daemons) Find(host string) (Daemon, bool) {
+	known, ok := daemons.known[host]
+	if !ok {
+		return Daemon{}, false
+	}
+	return known.Daemon, true
+}
+
 // All returns every registered daemon by host.
 func (daemons *Daemons) All() []Daemon {
 	list := make([]Daemon, 0, len(daemons.known))
--- a/hatchserve/heartbeat.go
+++ b/hatchserve/heartbeat.go
@@ -105,14 +105,23 @@
 	daemon.daemons.Answered(peer.Host, time.Now())
 	daemon.mu.Unlock()
 	daemon.takeHeartbeat(answer)
-	if answer.ConfigurationVersion > daemon.configurationVersion() {
-		if accepted, err := daemon.peer.Configuration(ctx, peer.PeerAddress); err == nil {
-			daemon.adopt(accepted, peer.Host)
-		}
-	}
+	daemon.fetchConfiguration(ctx, answer.ConfigurationVersion, peer)
 	return true
 }
 
+// fetchConfiguration gets a peer's configuration if it is newer.
+func (daemon *Daemon) fetchConfiguration(ctx context.Context, version uint64, peer hatchmember.Daemon) {
+	if version <= daemon.configurationVersion() {
+		return
+	}
+	accepted, err := daemon.peer.Configuration(ctx, peer.PeerAddress)
+	if err != nil {
+		daemon.logger.Warn("configuration not fetched", "host", peer.Host, "version", version, "error", err)
+		return
+	}
+	daemon.adopt(accepted, peer.Host)
+}
+
 func (daemon *Daemon) heartbeat() dragonflyhatch.Heartbeat {
 	daemon.mu.Lock()
 	defer daemon.mu.Unlock()
@@ -141,9 +150,22 @@
 // ExchangeHeartbeat takes a peer's facts and returns the daemon's own.
 func (daemon *Daemon) ExchangeHeartbeat(heartbeat dragonflyhatch.Heartbeat) dragonflyhatch.Heartbeat {
 	daemon.takeHeartbeat(heartbeat)
+	daemon.mu.Lock()
+	sender, known := daemon.daemons.Find(heartbeat.Host)
+	daemon.mu.Unlock()
+	if known {
+		go daemon.fetchFrom(heartbeat.ConfigurationVersion, sender)
+	}
 	return daemon.heartbeat()
 }
 
+// fetchFrom fetches a peer's newer configuration within a bound of its own.
+func (daemon *Daemon) fetchFrom(version uint64, peer hatchmember.Daemon) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	daemon.fetchConfiguration(ctx, version, peer)
+}
+
 // The platform's host list is read once a second by a small fleet. Daemons of a
 // larger one take turns and tell each other, so that the platform is asked no
 // more often than by hostReaders daemons.
--- a/hatchstandin/platform.go
+++ b/hatchstandin/platform.go
@@ -20,6 +20,7 @@
 	Delay       Duration `json:"delay"`       // added before each call
 	LoseReplies int      `json:"loseReplies"` // next writes that apply but are not answered
 	StaleHosts  bool     `json:"staleHosts"`  // the host list stops changing
+	HoldWatches bool     `json:"holdWatches"` // changes are not shown to watches
 }
 
 // PlatformCounts says how often the platform stand-in was called.
@@ -250,6 +251,10 @@
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	listing := Listing{Version: platform.version}
+	if platform.faults.HoldWatches {
+		listing.Version = after
+		return listing, platform.changed, platform.faults.Outage
+	}
 	first, _ := slices.BinarySearchFunc(platform.log, after+1, func(change dragonflyhatch.Change, version uint64) int {
 		return int(change.Object.Version) - int(version)
 	})
