Orders to engines: the holder of one lease, fencing, and what engines that do not check get

Cause for the shape: a late order of an earlier holder could still be applied by an engine that held the right thing already, since no order had shown it the new number.

Remains with engines that do not check: between a late order and the holder's next look (10 s) they hold what was wanted before and refuse the wanted stages.

--- a/engine.go
+++ b/engine.go
@@ -72,6 +72,20 @@
 	Leaving       bool          `json:"leaving"`
 }
 
+// Held is what an engine holds, or is wanted to hold.
+type Held struct {
+	Model   string     `json:"model"`
+	Version string     `json:"version"`
+	Layers  LayerRange `json:"layers"`
+}
+
+// EngineOrder tells an engine what to hold. Fencing is the number of the lease
+// by which the order is given; an engine that checks refuses lower ones.
+type EngineOrder struct {
+	Held
+	Fencing uint64 `json:"fencing"`
+}
+
 // Engine runs pipelines through the engines' protocol.
 type Engine interface {
 	// Generate opens a stream at the pipeline's head and calls emit for each
@@ -82,6 +96,12 @@
 	Cancel(ctx context.Context, generation Generation) error
 	// Load returns the engine's last report.
 	Load(ctx context.Context, address string) (LoadReport, error)
+	// Held returns what the engine holds.
+	Held(ctx context.Context, address string) (Held, error)
+	// Order tells the engine what to hold. A Failure of KindConflict means
+	// that it has seen a higher number; after any other error the order may
+	// still arrive.
+	Order(ctx context.Context, address string, order EngineOrder) error
 }
 
 // MarshalText writes the name of the kind and never fails.
--- a/hatchconfig/configuration.go
+++ b/hatchconfig/configuration.go
@@ -41,8 +41,9 @@
 	FirstLayer    int    `json:"firstLayer"`
 	EndLayer      int    `json:"endLayer" config:"required"` // the layer after the last
 	Accelerator   string `json:"accelerator"`
-	Slots         int    `json:"slots"` // streams served at once, 1 if not given
-	ChecksFencing bool   `json:"checksFencing"`
+	Slots         int    `json:"slots"`         // streams served at once, 1 if not given
+	Managed       bool   `json:"managed"`       // the fleet orders it to hold what is stated here
+	ChecksFencing bool   `json:"checksFencing"` // it refuses orders with an old fencing number
 }
 
 // Layers returns the range of layers that the engine holds.
--- a/hatchproof/configuration_test.go
+++ b/hatchproof/configuration_test.go
@@ -56,7 +56,7 @@
 		fleet.platformFaults(hatchstandin.PlatformFaults{Outage: true})
 		t.Logf("in force everywhere after %v", fleet.awaitVersion(fleet.accepted, fleet.hosts...))
 	})
-	t.Run("a daemon started during the outage", func(t *testing.T) {
+	t.Run("a daemon started during the outage", func(*testing.T) {
 		late := fleet.hosts[4]
 		late.signal(syscall.SIGKILL)
 		<-late.ended
@@ -70,7 +70,7 @@
 		}
 		fleet.platformFaults(hatchstandin.PlatformFaults{})
 	})
-	t.Run("a lost reply", func(t *testing.T) {
+	t.Run("a lost reply", func(*testing.T) {
 		fleet.platformFaults(hatchstandin.PlatformFaults{LoseReplies: 1})
 		fleet.apply(fleet.hosts[2], "5s")
 		fleet.awaitVersion(fleet.accepted, fleet.hosts...)
@@ -80,7 +80,9 @@
 		answers := make([][]byte, 2)
 		var both sync.WaitGroup
 		for i := range statuses {
-			both.Go(func() { statuses[i], answers[i] = fleet.propose(fleet.hosts[i], fleet.accepted, []string{"4s", "3s"}[i]) })
+			both.Go(func() {
+				statuses[i], answers[i] = fleet.propose(fleet.hosts[i], fleet.accepted, []string{"4s", "3s"}[i])
+			})
 		}
 		both.Wait()
 		accepted, refused := 0, 0
--- a/hatchproof/faults_test.go
+++ b/hatchproof/faults_test.go
@@ -79,6 +79,26 @@
 			fleet.engineFaults(i, hatchstandin.EngineFaults{})
 		}
 	}))
+	fleet.checkSteps()
+}
+
+// checkSteps wants each attempt to have run each layer at most once for each
+// token, by the engines' own record.
+func (fleet *fleet) checkSteps() {
+	fleet.t.Helper()
+	ran := make(map[hatchstandin.Step]int)
+	for _, engine := range fleet.engines {
+		var steps []hatchstandin.Step
+		if err := fleet.get(engine, "/standin/steps", &steps); err != nil {
+			fleet.t.Error(err)
+		}
+		for _, step := range steps {
+			if ran[step]++; ran[step] > 1 {
+				fleet.t.Fatalf("ran %d times: %+v", ran[step], step)
+			}
+		}
+	}
+	fleet.t.Logf("%d layer runs, each once", len(ran))
 }
 
 func TestAnswersWhileHostsAreKilled(t *testing.T) {
@@ -92,6 +112,7 @@
 		fleet.hosts[1].signal(syscall.SIGCONT)
 	})
 	fleet.wantKept(report)
+	fleet.checkSteps()
 	if report.Outcomes["served"] != report.Sent {
 		t.Errorf("%d of %d were served", report.Outcomes["served"], report.Sent)
 	}
--- a/hatchproof/fleet_test.go
+++ b/hatchproof/fleet_test.go
@@ -55,6 +55,7 @@
 	engines   []string
 	hosts     []*host
 	accepted  uint64 // version of the accepted configuration
+	version   string // of the model, that the engines are wanted to hold
 }
 
 // host is an entry host's process.
@@ -85,7 +86,7 @@
 func startFleet(t *testing.T, hostCount, pipelines int) *fleet {
 	t.Helper()
 	addresses := freeAddresses(t, 2+2*pipelines+3*hostCount)
-	fleet := &fleet{t: t, directory: t.TempDir(), platform: addresses[0], service: addresses[1]}
+	fleet := &fleet{t: t, directory: t.TempDir(), platform: addresses[0], service: addresses[1], version: modelVersion}
 	fleet.engines, addresses = addresses[2:2+2*pipelines], addresses[2+2*pipelines:]
 	fleet.start("platform", "standin", "platform", fleet.platform)
 	fleet.start("service", "standin", "service", fleet.service)
@@ -135,11 +136,18 @@
 			Name: fmt.Sprintf("engine-%d", i), Model: "assistant", Version: modelVersion,
 			Layers:        dragonflyhatch.LayerRange{First: first, End: first + layers/2},
 			TokenInterval: hatchstandin.Duration(5 * time.Millisecond), Slots: 64, CacheBlocks: 256,
+			ChecksFencing: checksFencing(i),
 		}})
 	}
 	return specs
 }
 
+// checksFencing says whether an engine refuses orders with an old number: all
+// but the first do.
+func checksFencing(i int) bool {
+	return i > 0
+}
+
 func (fleet *fleet) start(name string, args ...string) (*exec.Cmd, chan error) {
 	fleet.t.Helper()
 	log, err := os.Create(filepath.Join(fleet.directory, name+".log"))
@@ -251,8 +259,8 @@
 	var engines strings.Builder
 	for i, address := range fleet.engines {
 		first := i % 2 * layers / 2
-		fmt.Fprintf(&engines, `"engine-%d": {"address": %q, "site": "walu-bay", "model": "assistant", "version": %q, "firstLayer": %d, "endLayer": %d, "slots": 64},`,
-			i, address, modelVersion, first, first+layers/2)
+		fmt.Fprintf(&engines, `"engine-%d": {"address": %q, "site": "walu-bay", "model": "assistant", "version": %q, "firstLayer": %d, "endLayer": %d, "slots": 64, "managed": true, "checksFencing": %v},`,
+			i, address, fleet.version, first, first+layers/2, checksFencing(i))
 	}
 	return dragonflyhatch.SourceFile{Name: "base.hujson", Text: fmt.Sprintf(`{
 		"sealingKeys": ["AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="],
--- a/hatchserve/daemon.go
+++ b/hatchserve/daemon.go
@@ -37,11 +37,13 @@
 	service  dragonflyhatch.Service
 	peer     dragonflyhatch.Peer
 
-	claims  *claims
-	trail   *hatchaudit.Trail
-	journal *hatchaudit.Journal
-	tracks  *hatchroute.Tracks
-	budget  *hatchretry.Budget
+	claims *claims
+
+	engineOrders *engineOrders
+	trail        *hatchaudit.Trail
+	journal      *hatchaudit.Journal
+	tracks       *hatchroute.Tracks
+	budget       *hatchretry.Budget
 
 	view    atomic.Pointer[view]
 	leaving atomic.Bool
@@ -122,6 +124,7 @@
 	daemon.trail = hatchaudit.NewTrail(settings.Host, daemon.platform, daemon.logger)
 	daemon.claims = newClaims(daemon.process, daemon.platform, daemon.runClaimed, daemon.trail, daemon.logger,
 		hatchclaim.WithCommitInterval(time.Duration(timing.CommitInterval)))
+	daemon.engineOrders = newEngineOrders(daemon)
 	daemon.daemons.Registered(daemon.registration(), 0)
 	return daemon
 }
@@ -144,7 +147,7 @@
 func (daemon *Daemon) background(ctx context.Context) {
 	var group conc.WaitGroup
 	for _, loop := range []func(context.Context){
-		daemon.watchFleet, daemon.beat, daemon.pollHosts, daemon.probeUpstreams, daemon.trail.Run,
+		daemon.watchFleet, daemon.beat, daemon.pollHosts, daemon.probeUpstreams, daemon.trail.Run, daemon.engineOrders.run,
 	} {
 		group.Go(func() { loop(ctx) })
 	}
--- a/hatchstandin/engine.go
+++ b/hatchstandin/engine.go
@@ -176,23 +176,14 @@
 	writeJSON(writer, StreamCount{engine.begun, len(engine.held)})
 }
 
-// Order tells an engine what to hold. Fencing comes from the lease object of
-// who gives the order.
-type Order struct {
-	Model   string                    `json:"model"`
-	Version string                    `json:"version"`
-	Layers  dragonflyhatch.LayerRange `json:"layers"`
-	Fencing uint64                    `json:"fencing"`
-}
-
 // EngineState is what an engine says it holds.
 type EngineState struct {
-	Order
+	dragonflyhatch.EngineOrder
 	Orders int `json:"orders"` // orders carried out since it started
 }
 
 func (engine *Engine) order(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
-	var order Order
+	var order dragonflyhatch.EngineOrder
 	if !readJSON(writer, request, &order) {
 		return
 	}
@@ -216,7 +207,8 @@
 
 func (engine *Engine) stateLocked() EngineState {
 	spec := engine.spec
-	return EngineState{Order{spec.Model, spec.Version, spec.Layers, engine.fencing}, engine.orders}
+	held := dragonflyhatch.Held{Model: spec.Model, Version: spec.Version, Layers: spec.Layers}
+	return EngineState{dragonflyhatch.EngineOrder{Held: held, Fencing: engine.fencing}, engine.orders}
 }
 
 func (engine *Engine) load(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/hatchupstream/engine.go
+++ b/hatchupstream/engine.go
@@ -169,6 +169,22 @@
 	return report, err
 }
 
+// Held returns what the engine holds.
+func (engine *Engine) Held(ctx context.Context, address string) (dragonflyhatch.Held, error) {
+	var held dragonflyhatch.Held
+	err := engine.exchange(ctx, http.MethodGet, address, "/v1/state", nil, &held)
+	return held, err
+}
+
+// Order tells the engine what to hold.
+func (engine *Engine) Order(ctx context.Context, address string, order dragonflyhatch.EngineOrder) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	return engine.exchange(ctx, http.MethodPost, address, "/v1/orders", body, nil)
+}
+
 // exchange makes one short call and decodes the answer into reply, unless
 // reply is nil.
 func (engine *Engine) exchange(ctx context.Context, method, address, path string, body []byte, reply any) error {
@@ -183,7 +199,10 @@
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
+	switch {
+	case response.StatusCode == http.StatusConflict:
+		return dragonflyhatch.Fail(dragonflyhatch.KindConflict, "%s has seen a higher number", address)
+	case response.StatusCode != http.StatusOK:
 		return refusal(address, response)
 	}
 	if reply == nil {
