--- a/hatchclaim/world_test.go
+++ b/hatchclaim/world_test.go
@@ -3,10 +3,9 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"dragonflyhatch"
 )
 
@@ -14,7 +13,7 @@
 // upstream, driven one event at a time. It is the oracle: it knows every run
 // that happened, and checks each answer against them.
 type world struct {
-	t         *rapid.T
+	t         reporter
 	now       time.Time
 	options   []Option
 	names     int
@@ -42,6 +41,12 @@
 	refused bool
 }
 
+// reporter is what a world needs of a test.
+type reporter interface {
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
 // run is one execution at the upstream.
 type run struct {
 	digest string
@@ -77,7 +82,7 @@
 	late     []WriteHead // sent, not answered, and not applied yet
 }
 
-func newWorld(t *rapid.T, options ...Option) *world {
+func newWorld(t reporter, options ...Option) *world {
 	world := &world{
 		t:        t,
 		now:      time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC),
@@ -138,11 +143,14 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case Answer:
+			world.t.Logf("%s answers %d: %s", at.name, action.Waiter, describe(action))
 			world.checkAnswer(at, action)
 		case Dispatch:
+			world.t.Logf("%s dispatches %s", at.name, action.ID.Key)
 			world.checkDispatch(at, action)
 			at.pending = append(at.pending, action)
 		case TookOver:
+			world.t.Logf("%s takes over from %q", at.name, action.From)
 		case DeleteSegment:
 			delete(world.platform.segments, action.Name)
 		default:
@@ -151,6 +159,16 @@
 	}
 }
 
+func describe(answer Answer) string {
+	if answer.Outcome == nil {
+		return fmt.Sprintf("%v, ran %v", answer.Kind, answer.Kind.Answer().Ran)
+	}
+	if answer.Repeated {
+		return fmt.Sprintf("outcome %d, repeated", answer.Outcome.Status)
+	}
+	return fmt.Sprintf("outcome %d", answer.Outcome.Status)
+}
+
 // checkDispatch wants somebody to wait for what is sent to the upstream.
 func (world *world) checkDispatch(at *process, dispatch Dispatch) {
 	asked, ok := at.waiters[dispatch.Waiter]
@@ -170,7 +188,7 @@
 
 // checkDispatch wants no caller to have been told that what is dispatched now
 // was not run.
-func (forwarded *forwarded) checkDispatch(t *rapid.T) {
+func (forwarded *forwarded) checkDispatch(t reporter) {
 	if forwarded != nil && forwarded.told && forwarded.refused && forwarded.kind.Answer().Ran == dragonflyhatch.RanNo {
 		t.Fatalf("%v is dispatched after its caller was told %v", forwarded.order.ID, forwarded.kind)
 	}
@@ -281,6 +299,7 @@
 func (world *world) execute(at *process, dispatch Dispatch, digest string) run {
 	done := run{digest: digest, status: 200 + len(world.runs[dispatch.ID])}
 	world.runs[dispatch.ID] = append(world.runs[dispatch.ID], done)
+	world.t.Logf("%s runs, as %s, with outcome %d", dispatch.ID.Key, digest, done.status)
 	at.ran[dispatch.ID] = true
 	if len(world.runs[dispatch.ID]) > 1 {
 		world.t.Fatalf("%v ran %d times, now by %s", dispatch.ID, len(world.runs[dispatch.ID]), at.name)
@@ -299,10 +318,12 @@
 	fateCount
 )
 
+var fates = [fateCount]string{"served", "replyLost", "callLost", "callLate"}
+
 // resolve ends the process's pending action number i.
 func (world *world) resolve(at *process, i int, fate fate) {
 	action := at.pending[i]
-	world.t.Logf("%s: %T %+v fate %d", at.name, action, action, fate)
+	world.t.Logf("%s: %s %s", at.name, strings.TrimPrefix(fmt.Sprintf("%T", action), "hatchclaim."), fates[fate])
 	at.pending = append(at.pending[:i:i], at.pending[i+1:]...)
 	shard := at.shard
 	switch action := action.(type) {
