Admission by deadline with fair shares, an adaptive window, and plain policies to measure against

Each daemon keeps a window of requests in flight for each model, moved by how long first tokens take; what waits is ordered by weighted fair queueing between organisations and by deadline within one, and refused (not run) as soon as it cannot finish.

One organisation asking for 1.6 times the capacity costs the others no promise; without admission the same load stays below half of the bound.

--- a/hatchconfig/settings.go
+++ b/hatchconfig/settings.go
@@ -5,6 +5,8 @@
 	"reflect"
 	"strconv"
 	"time"
+
+	"dragonflyhatch"
 )
 
 // Settings is what one daemon process learns from its own file.
@@ -19,6 +21,13 @@
 	Operators       map[string]Operator `json:"operators" config:"required"`
 	Limits          Limits              `json:"limits"`
 	Timing          Timing              `json:"timing"`
+	Policy          Policy              `json:"policy"`
+}
+
+// Policy switches decisions to the plain ones that they are measured against.
+type Policy struct {
+	Choice      dragonflyhatch.ChoicePolicy `json:"choice"`
+	NoAdmission bool                        `json:"noAdmission"` // every request is sent at once
 }
 
 // Operator is a person or program that may use the operator listener.
--- a/hatchentry/completions.go
+++ b/hatchentry/completions.go
@@ -73,6 +73,7 @@
 	completion := Completion{
 		Request:      place.Request,
 		Organisation: session.organisation.Name,
+		Share:        session.organisation.Share,
 		Model:        chat.Model,
 		Prompt:       prompt(chat.Messages),
 		MaxTokens:    chat.MaxTokens,
--- a/hatchentry/fleet.go
+++ b/hatchentry/fleet.go
@@ -45,12 +45,14 @@
 type Organisation struct {
 	Name    string
 	Promise time.Duration // deadline that the organisation is promised
+	Share   int           // of the fleet when it is full
 }
 
 // Completion asks for an answer of a model.
 type Completion struct {
 	Request      string
 	Organisation string
+	Share        int // of the organisation when the fleet is full
 	Model        string
 	Prompt       string
 	MaxTokens    int
--- /dev/null
+++ b/hatchlimit/limiter_test.go
@@ -0,0 +1,270 @@
+package hatchlimit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// engines is a queueing model of what one limiter sends to: slots that each
+// make tokens at one pace, and a queue in the order of arrival.
+type engines struct {
+	slots    int
+	perToken time.Duration
+	free     int
+	queue    []*job
+}
+
+type job struct {
+	ticket *Ticket
+	tokens int
+	first  time.Time
+	ends   time.Time
+	next   time.Time // first, and then ends
+}
+
+// timeline is the first tokens and the ends of jobs by time.
+type timeline []*job
+
+func (timeline timeline) Len() int           { return len(timeline) }
+func (timeline timeline) Less(i, j int) bool { return timeline[i].next.Before(timeline[j].next) }
+func (timeline timeline) Swap(i, j int)      { timeline[i], timeline[j] = timeline[j], timeline[i] }
+
+// Push adds a job.
+func (timeline *timeline) Push(value any) { *timeline = append(*timeline, value.(*job)) }
+
+// Pop removes the last job.
+func (timeline *timeline) Pop() any {
+	last := (*timeline)[len(*timeline)-1]
+	*timeline = (*timeline)[:len(*timeline)-1]
+	return last
+}
+
+// outcome is what became of the requests of one organisation.
+type outcome struct {
+	asked, inTime, late, refused int
+	tokens                       int // in time
+}
+
+func (outcome *outcome) finish(now time.Time, done *job) {
+	if now.After(done.ticket.Deadline) {
+		outcome.late++
+		return
+	}
+	outcome.inTime++
+	outcome.tokens += done.tokens
+}
+
+// simulate offers load times the capacity for a while, in virtual time. The
+// organisations' parts of the load are given by their weights.
+func simulate(seed uint64, load float64, weights []float64, admit bool) (map[string]*outcome, float64) {
+	const length, promise = 60 * time.Second, 4 * time.Second
+	random := rand.New(rand.NewPCG(seed, 1))
+	engines := &engines{slots: 32, perToken: 40 * time.Millisecond, free: 32}
+	capacity := float64(engines.slots) / engines.perToken.Seconds() // tokens a second
+	rate := load * capacity / 32.5                                  // requests a second of 1 to 64 tokens
+	limiter := NewLimiter(DefaultOptions())
+	outcomes := make(map[string]*outcome)
+	var running timeline
+	now := time.Unix(0, 0)
+	arrival, end := now, now.Add(length)
+	lengths := make(map[*Ticket]int)
+
+	launch := func(decisions []Decision) {
+		for _, decision := range decisions {
+			if decision.Failure != nil {
+				outcomes[decision.Ticket.Organisation].refused++
+				continue
+			}
+			engines.queue = append(engines.queue, &job{ticket: decision.Ticket, tokens: lengths[decision.Ticket]})
+		}
+		for engines.free > 0 && len(engines.queue) > 0 {
+			next := engines.queue[0]
+			engines.queue = engines.queue[1:]
+			engines.free--
+			next.first = now.Add(engines.perToken)
+			next.ends = now.Add(time.Duration(next.tokens) * engines.perToken)
+			next.next = next.first
+			heap.Push(&running, next)
+		}
+	}
+	for {
+		if len(running) > 0 && (arrival.After(end) || running[0].next.Before(arrival)) {
+			done := heap.Pop(&running).(*job)
+			now = done.next
+			if now.Before(done.ends) {
+				done.next = done.ends
+				heap.Push(&running, done)
+				if admit {
+					launch(limiter.FirstToken(now, done.ticket))
+				}
+				continue
+			}
+			engines.free++
+			outcomes[done.ticket.Organisation].finish(now, done)
+			if !admit {
+				launch(nil)
+				continue
+			}
+			launch(limiter.Done(now, done.ticket, Result{AfterFirst: now.Sub(done.first), Tokens: done.tokens, Whole: true}))
+			continue
+		}
+		if arrival.After(end) {
+			break
+		}
+		now = arrival
+		arrival = arrival.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		ticket := &Ticket{
+			Organisation: fmt.Sprintf("o%d", pickWeighted(random, weights)), Share: 1,
+			Tokens: 64, Deadline: now.Add(promise),
+		}
+		lengths[ticket] = 1 + random.IntN(64)
+		if outcomes[ticket.Organisation] == nil {
+			outcomes[ticket.Organisation] = &outcome{}
+		}
+		outcomes[ticket.Organisation].asked++
+		if !admit {
+			launch([]Decision{{Ticket: ticket}})
+			continue
+		}
+		launch(limiter.Arrive(now, ticket))
+	}
+	return outcomes, capacity * length.Seconds()
+}
+
+func pickWeighted(random *rand.Rand, weights []float64) int {
+	total := 0.0
+	for _, weight := range weights {
+		total += weight
+	}
+	draw := random.Float64() * total
+	for i, weight := range weights {
+		if draw -= weight; draw < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+func totals(outcomes map[string]*outcome) outcome {
+	var sum outcome
+	for _, outcome := range outcomes {
+		sum.asked += outcome.asked
+		sum.inTime += outcome.inTime
+		sum.late += outcome.late
+		sum.refused += outcome.refused
+		sum.tokens += outcome.tokens
+	}
+	return sum
+}
+
+func TestThroughputAgainstTheBound(t *testing.T) {
+	even := []float64{1, 1, 1, 1}
+	convey.Convey("Nine tenths of the capacity is finished in time, but for one in a hundred", t, func() {
+		sum := totals(first(simulate(1, 0.9, even, true)))
+		convey.So(float64(sum.inTime)/float64(sum.asked), convey.ShouldBeGreaterThanOrEqualTo, 0.99)
+	})
+	convey.Convey("At twice the capacity nine tenths of the bound are finished in time", t, func() {
+		outcomes, bound := simulate(1, 2, even, true)
+		sum := totals(outcomes)
+		t.Logf("in time %d, late %d, refused %d; %.3f of the bound", sum.inTime, sum.late, sum.refused, float64(sum.tokens)/bound)
+		convey.So(float64(sum.tokens)/bound, convey.ShouldBeGreaterThanOrEqualTo, 0.9)
+	})
+	convey.Convey("Without admission the same load collapses", t, func() {
+		outcomes, bound := simulate(1, 2, even, false)
+		convey.So(float64(totals(outcomes).tokens)/bound, convey.ShouldBeLessThan, 0.5)
+	})
+}
+
+func first(outcomes map[string]*outcome, _ float64) map[string]*outcome { return outcomes }
+
+func TestSharesAreFair(t *testing.T) {
+	convey.Convey("A burst of one organisation costs the others no promise", t, func() {
+		// o0 alone asks for 1.6 times the capacity, the others for 0.1 each.
+		outcomes, bound := simulate(2, 2, []float64{16, 1, 1, 1, 1}, true)
+		for _, name := range []string{"o1", "o2", "o3", "o4"} {
+			share := outcomes[name]
+			convey.So(float64(share.inTime)/float64(share.asked), convey.ShouldBeGreaterThanOrEqualTo, 0.99)
+		}
+		convey.Convey("and what they leave is lent out", func() {
+			convey.So(float64(totals(outcomes).tokens)/bound, convey.ShouldBeGreaterThanOrEqualTo, 0.9)
+		})
+	})
+}
+
+// TestTicketsAreDecidedOnce holds that each ticket is sent, refused or abandoned
+// exactly once, that a refusal is never of a kind that may have run, and that
+// the window is kept.
+func TestTicketsAreDecidedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limiter := NewLimiter(DefaultOptions())
+		now := time.Unix(0, 0)
+		waiting, running := make(map[*Ticket]bool), []*Ticket(nil)
+		take := func(decisions []Decision) {
+			for _, decision := range decisions {
+				if !waiting[decision.Ticket] {
+					t.Fatalf("decided twice")
+				}
+				delete(waiting, decision.Ticket)
+				if decision.Failure == nil {
+					running = append(running, decision.Ticket)
+				} else if decision.Failure.Kind.Answer().Ran != 0 {
+					t.Fatalf("refused with %v", decision.Failure.Kind)
+				}
+			}
+			if limiter.Waiting() != len(waiting) {
+				t.Fatalf("%d wait, and the limiter counts %d", len(waiting), limiter.Waiting())
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "burst") {
+					ticket := &Ticket{
+						Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+						Share:        rapid.IntRange(0, 3).Draw(t, "share"),
+						Tokens:       rapid.IntRange(1, 100).Draw(t, "tokens"),
+						Deadline:     now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "millis")) * time.Millisecond),
+					}
+					waiting[ticket] = true
+					take(limiter.Arrive(now, ticket))
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				ticket := running[0]
+				running = running[1:]
+				result := Result{Late: true}
+				if rapid.Bool().Draw(t, "answered") {
+					take(limiter.FirstToken(now, ticket))
+					result = Result{AfterFirst: time.Second, Tokens: 20, Whole: true}
+				}
+				take(limiter.Done(now, ticket, result))
+			},
+			"abandon": func(*rapid.T) {
+				for ticket := range waiting {
+					if !limiter.Abandon(ticket) {
+						t.Fatalf("a waiting ticket cannot be abandoned")
+					}
+					delete(waiting, ticket)
+					break
+				}
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "millis")) * time.Millisecond)
+				take(limiter.Tick(now))
+			},
+			"": func(*rapid.T) {
+				if len(waiting) > 0 && float64(len(running)) < limiter.Window()-1 {
+					t.Fatalf("%d wait with %d of %.1f in flight", len(waiting), len(running), limiter.Window())
+				}
+			},
+		})
+	})
+}
--- a/hatchroute/choose.go
+++ b/hatchroute/choose.go
@@ -12,8 +12,9 @@
 // Request is what a choice needs to know of a request.
 type Request struct {
 	Model   string
-	Version string   // only this version, unless empty
-	Prefix  uint64   // hash of the prompt's beginning
+	Version string // only this version, unless empty
+	Prefix  uint64 // hash of the prompt's beginning
+	Policy  dragonflyhatch.ChoicePolicy
 	Exclude []string // addresses that have just failed the request
 }
 
@@ -86,7 +87,7 @@
 	replicas := make([]*Replica, 0, len(chain.groups))
 	total := 0.0
 	for _, group := range chain.groups {
-		replica, cost := group.choose(now, request, random)
+		replica, cost := group.chooseBy(now, request, random)
 		if replica == nil {
 			return nil, 0, false
 		}
@@ -96,6 +97,41 @@
 	return replicas, total, true
 }
 
+func (group *group) chooseBy(now time.Time, request Request, random *rand.Rand) (*Replica, float64) {
+	switch request.Policy {
+	case dragonflyhatch.ChooseInTurn:
+		return group.inTurn(request)
+	case dragonflyhatch.ChooseLeastInFlight:
+		return group.leastInFlight(request)
+	}
+	return group.choose(now, request, random)
+}
+
+// inTurn takes the replicas one after the other.
+func (group *group) inTurn(request Request) (*Replica, float64) {
+	for range group.replicas {
+		replica := group.replicas[int(group.turn.Add(1))%len(group.replicas)]
+		if !slices.Contains(request.Exclude, replica.Address) {
+			return replica, 0
+		}
+	}
+	return nil, 0
+}
+
+// leastInFlight takes the replica with the fewest requests of this daemon.
+func (group *group) leastInFlight(request Request) (*Replica, float64) {
+	var best *Replica
+	for _, replica := range group.replicas {
+		if slices.Contains(request.Exclude, replica.Address) {
+			continue
+		}
+		if best == nil || replica.Track.InFlight() < best.Track.InFlight() {
+			best = replica
+		}
+	}
+	return best, 0
+}
+
 // choose weighs the replicas that the ring gives the prefix to, and a few
 // random ones, and takes the cheapest. If all of them are excluded or left
 // alone it looks at every replica.
--- a/hatchroute/snapshot.go
+++ b/hatchroute/snapshot.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -48,6 +49,7 @@
 	layers   dragonflyhatch.LayerRange
 	replicas []*Replica
 	ring     []point
+	turn     atomic.Uint32 // of ChooseInTurn
 }
 
 // point is a place on the ring that spreads prompt prefixes over replicas.
--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -10,6 +10,7 @@
 	"dragonflyhatch"
 	"dragonflyhatch/hatchanswer"
 	"dragonflyhatch/hatchentry"
+	"dragonflyhatch/hatchlimit"
 	"dragonflyhatch/hatchretry"
 	"dragonflyhatch/hatchroute"
 	"dragonflyhatch/hatchupstream"
@@ -29,6 +30,9 @@
 	version   string // of the model, fixed by the first attempt
 	attempt   int
 	gone      error // why the caller cannot be reached
+
+	admitted   admitted
+	firstToken time.Time // when it came
 }
 
 // Complete produces the answer to a completion and hands its tokens to deliver
@@ -37,6 +41,10 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	daemon.budget.Earn()
+	admitted, err := daemon.admission.admit(ctx, request)
+	if err != nil {
+		return err
+	}
 	completion := &completion{
 		daemon:    daemon,
 		request:   request,
@@ -45,8 +53,24 @@
 		attempts:  hatchretry.NewAttempts(request.Deadline, request.Place.Next > 0),
 		version:   request.Place.Version,
 		attempt:   request.Place.Attempt,
+		admitted:  admitted,
+	}
+	err = completion.run(ctx)
+	admitted.finish(completion.result(ctx))
+	return err
+}
+
+// result says how the completion went, for the limiter.
+func (completion *completion) result(ctx context.Context) hatchlimit.Result {
+	result := hatchlimit.Result{
+		Tokens: completion.assembler.Next() - completion.request.Place.Next,
+		Whole:  completion.assembler.Done(),
+		Late:   ctx.Err() != nil && completion.gone == nil,
 	}
-	return completion.run(ctx)
+	if result.Tokens > 0 {
+		result.AfterFirst = time.Since(completion.firstToken)
+	}
+	return result
 }
 
 func (completion *completion) run(ctx context.Context) error {
@@ -79,6 +103,7 @@
 		Version: completion.version,
 		Prefix:  xxhash.Sum64String(completion.request.Prompt[:min(len(completion.request.Prompt), prefixLength)]),
 		Exclude: completion.attempts.Excluded(),
+		Policy:  completion.daemon.settings.Policy.Choice,
 	}
 	choice, err := current.snapshot.Choose(time.Now(), request, completion.daemon.random)
 	if err != nil && len(request.Exclude) > 0 {
@@ -133,6 +158,10 @@
 // accept puts one frame into the answer.
 func (completion *completion) accept(frame dragonflyhatch.Frame) error {
 	delivery, err := completion.assembler.Accept(frame)
+	if completion.firstToken.IsZero() && len(delivery.Tokens) > 0 {
+		completion.firstToken = time.Now()
+		completion.admitted.begin()
+	}
 	for _, token := range delivery.Tokens {
 		completion.send(hatchentry.Piece{Text: token.Text, Place: completion.place(token.Position + 1)})
 	}
--- a/hatchserve/daemon.go
+++ b/hatchserve/daemon.go
@@ -40,6 +40,7 @@
 	claims *claims
 
 	engineOrders *engineOrders
+	admission    *admission
 	trail        *hatchaudit.Trail
 	journal      *hatchaudit.Journal
 	tracks       *hatchroute.Tracks
@@ -125,6 +126,7 @@
 	daemon.claims = newClaims(daemon.process, daemon.platform, daemon.runClaimed, daemon.trail, daemon.logger,
 		hatchclaim.WithCommitInterval(time.Duration(timing.CommitInterval)))
 	daemon.engineOrders = newEngineOrders(daemon)
+	daemon.admission = newAdmission(daemon)
 	daemon.daemons.Registered(daemon.registration(), 0)
 	return daemon
 }
@@ -148,6 +150,7 @@
 	var group conc.WaitGroup
 	for _, loop := range []func(context.Context){
 		daemon.watchFleet, daemon.beat, daemon.pollHosts, daemon.probeUpstreams, daemon.trail.Run, daemon.engineOrders.run,
+		daemon.admission.run,
 	} {
 		group.Go(func() { loop(ctx) })
 	}
--- a/hatchserve/entries.go
+++ b/hatchserve/entries.go
@@ -31,7 +31,7 @@
 		return hatchentry.Organisation{}, dragonflyhatch.Fail(dragonflyhatch.KindUnauthorized, "the bearer token names no organisation")
 	}
 	organisation := current.configuration.Organisations[name]
-	return hatchentry.Organisation{Name: name, Promise: time.Duration(organisation.Deadline)}, nil
+	return hatchentry.Organisation{Name: name, Promise: time.Duration(organisation.Deadline), Share: organisation.Share}, nil
 }
 
 // Model returns the longest answer of the model in tokens, or a Failure of
