--- a/hatchproof/fleet_test.go
+++ b/hatchproof/fleet_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -22,7 +24,10 @@
 	"dragonflyhatch/hatchstandin"
 )
 
-var binary string
+var (
+	binary  string
+	measure = flag.String("measure", "", "measure instead of prove: load or recovery")
+)
 
 func TestMain(m *testing.M) {
 	directory, err := os.MkdirTemp("", "hatchproof")
@@ -30,7 +35,12 @@
 		panic(err)
 	}
 	binary = filepath.Join(directory, "dragonflyhatch")
-	build := exec.Command("go", "build", "-race", "-o", binary, "../cmd/dragonflyhatch")
+	flag.Parse()
+	args := []string{"build", "-race", "-o", binary, "../cmd/dragonflyhatch"}
+	if *measure != "" {
+		args = slices.Delete(args, 1, 2)
+	}
+	build := exec.Command("go", args...)
 	if output, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("%v: %s", err, output))
 	}
@@ -46,9 +56,32 @@
 	modelVersion  = "v1"
 )
 
+// fleetSpec says what fleet to start.
+type fleetSpec struct {
+	hosts         int
+	pipelines     int
+	intervals     []time.Duration // between tokens, of the pipelines in turn
+	slots         int             // of each engine
+	organisations int
+	deadline      string
+	policy        hatchconfig.Policy
+}
+
+// smallFleet is what most proofs run on.
+func smallFleet(hosts, pipelines int) fleetSpec {
+	return fleetSpec{
+		hosts: hosts, pipelines: pipelines, intervals: []time.Duration{5 * time.Millisecond}, slots: 64,
+		organisations: 1, deadline: "8s",
+	}
+}
+
+// enginesEach is the number of engine stand-ins in one process.
+const enginesEach = 10
+
 // fleet is a platform, engines, a service and hosts, each its own process.
 type fleet struct {
 	t         *testing.T
+	spec      fleetSpec
 	directory string
 	platform  string
 	service   string
@@ -82,15 +115,24 @@
 	return addresses
 }
 
-// startFleet starts everything and applies a configuration.
-func startFleet(t *testing.T, hostCount, pipelines int) *fleet {
+// startFleet starts a small fleet and applies a configuration.
+func startFleet(t *testing.T, hosts, pipelines int) *fleet {
+	t.Helper()
+	return startSpec(t, smallFleet(hosts, pipelines))
+}
+
+func startSpec(t *testing.T, spec fleetSpec) *fleet {
 	t.Helper()
+	hostCount, pipelines := spec.hosts, spec.pipelines
 	addresses := freeAddresses(t, 2+2*pipelines+3*hostCount)
-	fleet := &fleet{t: t, directory: t.TempDir(), platform: addresses[0], service: addresses[1], version: modelVersion}
+	fleet := &fleet{t: t, spec: spec, directory: t.TempDir(), platform: addresses[0], service: addresses[1], version: modelVersion}
 	fleet.engines, addresses = addresses[2:2+2*pipelines], addresses[2+2*pipelines:]
 	fleet.start("platform", "standin", "platform", fleet.platform)
 	fleet.start("service", "standin", "service", fleet.service)
-	fleet.start("engines", "standin", "engine", fleet.write("engines.json", fleet.engineSpecs()))
+	for i, specs := range slices.Collect(slices.Chunk(fleet.engineSpecs(), enginesEach)) {
+		name := fmt.Sprintf("engines-%d", i)
+		fleet.start(name, "standin", "engine", fleet.write(name+".json", specs))
+	}
 	fleet.await(fleet.platform, "/standin/counts")
 	fleet.await(fleet.service, "/standin/runs")
 	for _, engine := range fleet.engines {
@@ -103,7 +145,7 @@
 	for _, host := range fleet.hosts {
 		fleet.await(host.settings.OperatorAddress, "/healthz")
 	}
-	fleet.apply(fleet.hosts[0], "8s")
+	fleet.apply(fleet.hosts[0], spec.deadline)
 	for _, host := range fleet.hosts {
 		fleet.await(host.settings.OperatorAddress, "/readyz")
 	}
@@ -135,13 +177,19 @@
 		specs = append(specs, engineSpec{address, hatchstandin.EngineSpec{
 			Name: fmt.Sprintf("engine-%d", i), Model: "assistant", Version: modelVersion,
 			Layers:        dragonflyhatch.LayerRange{First: first, End: first + layers/2},
-			TokenInterval: hatchstandin.Duration(5 * time.Millisecond), Slots: 64, CacheBlocks: 256,
+			TokenInterval: hatchstandin.Duration(fleet.interval(i / 2)), Slots: fleet.spec.slots, CacheBlocks: 256,
+			PrefillTime: hatchstandin.Duration(time.Millisecond), LoadLag: hatchstandin.Duration(200 * time.Millisecond),
 			ChecksFencing: checksFencing(i),
 		}})
 	}
 	return specs
 }
 
+// interval is the time between tokens of a pipeline.
+func (fleet *fleet) interval(pipeline int) time.Duration {
+	return fleet.spec.intervals[pipeline%len(fleet.spec.intervals)]
+}
+
 // checksFencing says whether an engine refuses orders with an old number: all
 // but the first do.
 func checksFencing(i int) bool {
@@ -185,6 +233,7 @@
 		Operators: map[string]hatchconfig.Operator{"tester": {TokenHash: hatchconfig.HashToken(operatorToken)}},
 		Limits:    hatchconfig.DefaultLimits(),
 		Timing:    hatchconfig.DefaultTiming(),
+		Policy:    fleet.spec.policy,
 	}
 	for _, other := range fleet.hosts {
 		settings.Peers = append(settings.Peers, other.settings.PeerAddress)
@@ -255,20 +304,28 @@
 
 // configuration is the fleet's configuration with the organisation's deadline.
 func (fleet *fleet) configuration(deadline string) dragonflyhatch.SourceFile {
-	hash, _ := hatchconfig.HashToken(callerToken).MarshalText()
-	var engines strings.Builder
+	var organisations, engines strings.Builder
+	for i := range fleet.spec.organisations {
+		hash, _ := hatchconfig.HashToken(tokenOf(i)).MarshalText()
+		fmt.Fprintf(&organisations, `"office-%d": {"tokenHashes": [%q], "deadline": %q},`, i, hash, deadline)
+	}
 	for i, address := range fleet.engines {
 		first := i % 2 * layers / 2
-		fmt.Fprintf(&engines, `"engine-%d": {"address": %q, "site": "walu-bay", "model": "assistant", "version": %q, "firstLayer": %d, "endLayer": %d, "slots": 64, "managed": true, "checksFencing": %v},`,
-			i, address, fleet.version, first, first+layers/2, checksFencing(i))
+		fmt.Fprintf(&engines, `"engine-%d": {"address": %q, "site": "walu-bay", "model": "assistant", "version": %q, "firstLayer": %d, "endLayer": %d, "slots": %d, "managed": true, "checksFencing": %v},`,
+			i, address, fleet.version, first, first+layers/2, fleet.spec.slots, checksFencing(i))
 	}
 	return dragonflyhatch.SourceFile{Name: "base.hujson", Text: fmt.Sprintf(`{
 		"sealingKeys": ["AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="],
-		"organisations": {"office": {"tokenHashes": [%q], "deadline": %q}},
+		"organisations": {%s},
 		"models": {"assistant": {"layers": %d, "maxTokens": 64}},
 		"engines": {%s},
 		"services": {"orders": {"replicas": {"orders-0": {"address": %q, "site": "walu-bay"}}, "routes": [{"method": "GET", "path": "/menu", "repeatable": true}]}},
-	}`, hash, deadline, layers, engines.String(), fleet.service)}
+	}`, organisations.String(), layers, engines.String(), fleet.service)}
+}
+
+// tokenOf is the bearer token of an organisation.
+func tokenOf(organisation int) string {
+	return fmt.Sprintf("%s-%d", callerToken, organisation)
 }
 
 // propose sends a configuration through a host and returns the answer.
@@ -304,18 +361,36 @@
 	_ = host.process.Process.Signal(signal)
 }
 
+// capacity is the number of tokens a second that the engines can make.
+func (fleet *fleet) capacity() float64 {
+	capacity := 0.0
+	for i := range fleet.spec.pipelines {
+		capacity += float64(fleet.spec.slots) / fleet.interval(i).Seconds()
+	}
+	return capacity
+}
+
 // load sends a seeded load while disturb runs, and returns the report.
 func (fleet *fleet) load(shape hatchload.Shape, disturb func()) *hatchload.Report {
 	fleet.t.Helper()
+	promise, err := time.ParseDuration(fleet.spec.deadline)
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
 	plan := hatchload.Plan{
-		Tokens: []string{callerToken}, Promises: []time.Duration{8 * time.Second},
 		Model: "assistant", ModelVersion: modelVersion, Layers: layers,
 		Service: "orders/standing", ReadPath: "orders/menu", RunsAt: fleet.service, MaxOpen: 4096,
 	}
 	for _, host := range fleet.hosts {
 		plan.Entries = append(plan.Entries, host.settings.CallerAddress)
 	}
-	shape.Weights, shape.Prefixes, shape.PromptMax = []float64{1}, 8, 20
+	for i := range fleet.spec.organisations {
+		plan.Tokens = append(plan.Tokens, tokenOf(i))
+		plan.Promises = append(plan.Promises, promise)
+		shape.Weights = append(shape.Weights, 1/float64(1+i)) // a few large ones
+	}
+	plan.Capacity = fleet.capacity()
+	shape.Prefixes, shape.PromptMax = 8, 20
 	if shape.MaxTokens == 0 {
 		shape.MaxTokens = 48
 	}
--- /dev/null
+++ b/hatchproof/measure_test.go
@@ -0,0 +1,110 @@
+package hatchproof
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchconfig"
+	"dragonflyhatch/hatchload"
+	"dragonflyhatch/hatchstandin"
+)
+
+// measuredFleet is 12 daemons before 40 engines of four kinds and a service,
+// with 10 organisations of which a few are large.
+func measuredFleet(policy hatchconfig.Policy) fleetSpec {
+	return fleetSpec{
+		hosts: 12, pipelines: 20, slots: 6, organisations: 10, deadline: "4s", policy: policy,
+		intervals: []time.Duration{30 * time.Millisecond, 40 * time.Millisecond, 60 * time.Millisecond, 80 * time.Millisecond},
+	}
+}
+
+// meanTokens is the mean length of the answers of measuredShape.
+const meanTokens = 21.5
+
+// measuredShape offers load times the capacity of a fleet.
+func measuredShape(fleet *fleet, load float64) hatchload.Shape {
+	rate := load * fleet.capacity() / meanTokens
+	return hatchload.Shape{Seed: 42, Duration: 12 * time.Second, Rate: rate, Orders: 0.02, Reads: 0.02, MaxTokens: 48}
+}
+
+func wantMeasure(t *testing.T, what string) {
+	t.Helper()
+	if *measure != what {
+		t.Skipf("measures with -measure=%s", what)
+	}
+}
+
+// TestMeasureLoad prints throughput against the bound at several loads, for the
+// router's policy and for plain ones.
+func TestMeasureLoad(t *testing.T) {
+	wantMeasure(t, "load")
+	policies := []struct {
+		name   string
+		policy hatchconfig.Policy
+	}{
+		{"cost and admission", hatchconfig.Policy{}},
+		{"in turn, no admission", hatchconfig.Policy{Choice: dragonflyhatch.ChooseInTurn, NoAdmission: true}},
+		{"least in flight, no admission", hatchconfig.Policy{Choice: dragonflyhatch.ChooseLeastInFlight, NoAdmission: true}},
+		{"cost, no admission", hatchconfig.Policy{NoAdmission: true}},
+	}
+	for _, load := range []float64{0.5, 0.9, 1.2, 2} {
+		for _, policy := range policies {
+			t.Run(fmt.Sprintf("%v at %v", policy.name, load), func(t *testing.T) {
+				fleet := startSpec(t, measuredFleet(policy.policy))
+				report := fleet.load(measuredShape(fleet, load), func() {})
+				fmt.Printf("| %v | %s | %.1f%% | %.1f%% | %d | %d | %v / %v / %v | %v / %v |\n", load, policy.name,
+					100*float64(report.InTimeTokens)/float64(report.BoundTokens), 100*float64(report.InTime)/float64(report.Sent),
+					report.Late, report.Sent-report.InTime-report.Late,
+					report.FirstToken.P50.Round(time.Millisecond), report.FirstToken.P95.Round(time.Millisecond), report.FirstToken.P99.Round(time.Millisecond),
+					report.BetweenTokens.P95.Round(time.Millisecond), report.BetweenTokens.P99.Round(time.Millisecond))
+			})
+		}
+	}
+}
+
+// TestMeasureRecovery prints the longest stalls that callers see for each kind
+// of failure, at half of the capacity.
+func TestMeasureRecovery(t *testing.T) {
+	wantMeasure(t, "recovery")
+	engine := func(faults hatchstandin.EngineFaults) func(*fleet) {
+		return func(fleet *fleet) { fleet.engineFaults(0, faults) }
+	}
+	failures := []struct {
+		name string
+		fail func(*fleet)
+	}{
+		{"nothing", func(*fleet) {}},
+		{"head engine killed", engine(hatchstandin.EngineFaults{Dead: true})},
+		{"head engine frozen", engine(hatchstandin.EngineFaults{Frozen: true})},
+		{"second stage killed", func(fleet *fleet) { fleet.engineFaults(1, hatchstandin.EngineFaults{Dead: true}) }},
+		{"second stage frozen", func(fleet *fleet) { fleet.engineFaults(1, hatchstandin.EngineFaults{Frozen: true}) }},
+		{"open connections silent", engine(hatchstandin.EngineFaults{SilenceOpen: true})},
+		{"engine slowed tenfold", engine(hatchstandin.EngineFaults{SlowBy: 900})},
+		{"entry host killed", func(fleet *fleet) { fleet.hosts[0].signal(syscall.SIGKILL) }},
+		{"platform out and back", func(fleet *fleet) {
+			fleet.platformFaults(hatchstandin.PlatformFaults{Outage: true})
+			time.Sleep(3 * time.Second)
+			fleet.platformFaults(hatchstandin.PlatformFaults{})
+		}},
+		{"a site gone", func(fleet *fleet) {
+			for i := 0; i < len(fleet.hosts); i += 2 {
+				fleet.hosts[i].signal(syscall.SIGKILL)
+			}
+		}},
+	}
+	for _, failure := range failures {
+		t.Run(failure.name, func(t *testing.T) {
+			fleet := startSpec(t, measuredFleet(hatchconfig.Policy{}))
+			report := fleet.load(measuredShape(fleet, 0.5), func() {
+				time.Sleep(4 * time.Second)
+				failure.fail(fleet)
+			})
+			fmt.Printf("| %s | %.1f%% | %v / %v / %v | %d | %d |\n", failure.name, 100*float64(report.InTime)/float64(report.Sent),
+				report.LongestStall.P95.Round(time.Millisecond), report.LongestStall.P99.Round(time.Millisecond), report.LongestStall.Max.Round(time.Millisecond),
+				report.Reconnects, report.Faults())
+		})
+	}
+}
--- a/hatchstandin/stream.go
+++ b/hatchstandin/stream.go
@@ -32,6 +32,10 @@
 	Detail string `json:"detail,omitempty"`
 }
 
+// workPart is the part of a token's time, in percent, that stages wait for; the
+// rest is left for the stand-in's own work, and the head keeps the pace.
+const workPart = 60
+
 var errStaleAttempt = errors.New("a newer attempt owns the request")
 
 // generate is the head's part: it paces the tokens and streams the frames.
@@ -62,6 +66,7 @@
 	writer     http.ResponseWriter
 	generation dragonflyhatch.Generation
 	silence    <-chan struct{}
+	due        time.Time // of the next token
 }
 
 func (stream *stream) run(ctx context.Context) {
@@ -74,6 +79,7 @@
 		return
 	}
 	defer release()
+	stream.due = time.Now()
 	length, finish := answerEnd(stream.generation)
 	for position := stream.generation.From; position < length; position++ {
 		if !stream.token(ctx, position) {
@@ -99,9 +105,31 @@
 		_ = stream.emit(ctx, dragonflyhatch.FrameFailure, position, StepResult{Failed: result.Failed, Detail: err.Error()}, "")
 		return false
 	}
+	if stream.keepPace(ctx) != nil {
+		return false
+	}
 	return stream.emit(ctx, dragonflyhatch.FrameToken, position, result, "") == nil
 }
 
+// keepPace waits until the next token is due, so that the stand-in's own work
+// does not slow the engine down. A token that is late moves the later ones.
+func (stream *stream) keepPace(ctx context.Context) error {
+	now := time.Now()
+	stream.due = stream.due.Add(stream.engine.interval())
+	if stream.due.Before(now) {
+		stream.due = now
+	}
+	return sleep(ctx, stream.due.Sub(now))
+}
+
+// interval is the time that the engine takes for a token of a stream.
+func (engine *Engine) interval() time.Duration {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	interval := time.Duration(engine.spec.TokenInterval)
+	return interval + interval*time.Duration(engine.faults.SlowBy)/100
+}
+
 // emit sends one frame, unless the stream is silent: then it waits for the
 // client to give up.
 func (stream *stream) emit(ctx context.Context, kind dragonflyhatch.FrameKind, position int, result StepResult, finish string) error {
@@ -171,7 +199,7 @@
 		return 0, errStaleAttempt
 	}
 	held.attempt = generation.Attempt
-	pause := time.Duration(spec.TokenInterval) / time.Duration(len(generation.Pipeline.Stages))
+	pause := time.Duration(spec.TokenInterval) * workPart / 100 / time.Duration(len(generation.Pipeline.Stages))
 	pause += pause * time.Duration(engine.faults.SlowBy) / 100
 	if held.positions != activation.Position {
 		if !activation.Prefill {
