--- a/engine.go
+++ b/engine.go
@@ -61,6 +61,8 @@
 	Finish   string    `json:"finish,omitempty"`
 	Stage    string    `json:"stage,omitempty"`  // upstream that failed, on FrameFailure
 	Detail   string    `json:"detail,omitempty"` // reason, on FrameFailure
+
+	Load *LoadReport `json:"load,omitempty"` // the head's, on some frames
 }
 
 // LoadReport is what an engine says of itself; it describes an earlier moment.
--- a/hatchentry/completions.go
+++ b/hatchentry/completions.go
@@ -81,7 +81,7 @@
 		Place:        place,
 	}
 	if chat.Stream {
-		stream := &eventStream{writer: writer, sealer: sealer, answer: answer, request: session.id}
+		stream := newEventStream(writer, sealer, answer, session.id)
 		return stream.end(callers.fleet.Complete(request.Context(), completion, stream.piece))
 	}
 	return callers.completeWhole(writer, request, completion, answer)
--- a/hatchlimit/limiter.go
+++ b/hatchlimit/limiter.go
@@ -22,7 +22,7 @@
 		InitialWindow: 16,
 		MinWindow:     2,
 		MaxWindow:     4096,
-		QueueTarget:   150 * time.Millisecond,
+		QueueTarget:   400 * time.Millisecond,
 		MaxWaiting:    8192,
 	}
 }
--- a/hatchroute/choose.go
+++ b/hatchroute/choose.go
@@ -15,7 +15,9 @@
 	Version string // only this version, unless empty
 	Prefix  uint64 // hash of the prompt's beginning
 	Policy  dragonflyhatch.ChoicePolicy
-	Exclude []string // addresses that have just failed the request
+	Tokens  int           // longest answer wanted
+	Left    time.Duration // until the deadline
+	Exclude []string      // addresses that have just failed the request
 }
 
 // Choice is the outcome of a choice: the pipeline and its replicas in order.
@@ -42,7 +44,9 @@
 const (
 	unknownInterval = float64(20 * time.Millisecond) // between tokens of a replica that has shown none
 	remoteCost      = float64(time.Millisecond)      // of a replica in another site
-	affinityGain    = 0.5                            // share of the cost that a cached prefix may save
+	crowding        = 0.3                            // of a replica with all slots in use
+	lateFactor      = 4
+	affinityGain    = 0.1 // share of the cost that a cached prefix may save
 	randomTries     = 2
 	ringTries       = 2
 )
@@ -142,7 +146,7 @@
 		if slices.Contains(request.Exclude, replica.Address) || replica.Track.Open(now) {
 			return
 		}
-		cost := replica.cost(now) * (1 - gain)
+		cost := replica.cost(now, request) * (1 - gain)
 		if best == nil || cost < bestCost {
 			best, bestCost = replica, cost
 		}
@@ -171,25 +175,33 @@
 func (group *group) lastResort(request Request) (*Replica, float64) {
 	for _, replica := range group.replicas {
 		if !slices.Contains(request.Exclude, replica.Address) {
-			return replica, unknownInterval * rampPenalty
+			return replica, unknownInterval * float64(max(1, request.Tokens)) * rampPenalty * lateFactor
 		}
 	}
 	return nil, 0
 }
 
-// cost estimates the time of one token at the replica, were the request added
-// to what it has.
-func (replica *Replica) cost(now time.Time) float64 {
+// cost estimates the time of the answer at the replica, in nanoseconds, were the
+// request added to what it has. A replica where the answer would be late costs
+// lateFactor times as much.
+func (replica *Replica) cost(now time.Time, request Request) float64 {
 	track := replica.Track
 	interval := float64(track.interval.Load())
 	if interval == 0 {
 		interval = unknownInterval
 	}
-	load := float64(track.inFlight.Load()+track.others.Load()+1) / float64(replica.Slots)
-	cost := interval * max(0.5, load)
+	tokens := float64(max(1, request.Tokens))
+	load := float64(track.inFlight.Load()+track.others.Load()) / float64(replica.Slots)
+	// Beyond its slots a replica makes a request wait for a part of the
+	// answers before it; below them more load is still a little worse.
+	wait := interval * tokens * max(0, load+1/float64(replica.Slots)-1)
+	cost := wait + interval*tokens*(1+load*crowding)
 	if !replica.Local {
 		cost += remoteCost
 	}
+	if request.Left > 0 && cost > float64(request.Left) {
+		cost *= lateFactor
+	}
 	return cost * track.ramp(now)
 }
 
--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -102,6 +102,8 @@
 		Model:   completion.request.Model,
 		Version: completion.version,
 		Prefix:  xxhash.Sum64String(completion.request.Prompt[:min(len(completion.request.Prompt), prefixLength)]),
+		Tokens:  completion.request.MaxTokens - completion.assembler.Next(),
+		Left:    time.Until(completion.request.Deadline),
 		Exclude: completion.attempts.Excluded(),
 		Policy:  completion.daemon.settings.Policy.Choice,
 	}
@@ -246,6 +248,9 @@
 }
 
 func (meter *streamMeter) frame(frame dragonflyhatch.Frame) {
+	if frame.Load != nil {
+		meter.head.Report(*frame.Load)
+	}
 	if frame.Kind != dragonflyhatch.FrameToken {
 		return
 	}
--- a/hatchstandin/engine.go
+++ b/hatchstandin/engine.go
@@ -212,12 +212,17 @@
 }
 
 func (engine *Engine) load(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(writer, engine.report())
+}
+
+// report returns the load as it was some time ago.
+func (engine *Engine) report() dragonflyhatch.LoadReport {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
 	report := engine.loads.at(time.Now(), time.Duration(engine.spec.LoadLag))
 	report.TokenInterval = time.Duration(engine.spec.TokenInterval)
 	report.Leaving = engine.faults.Leaving
-	writeJSON(writer, report)
+	return report
 }
 
 func (engine *Engine) cacheEvents(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/hatchstandin/stream.go
+++ b/hatchstandin/stream.go
@@ -142,13 +142,21 @@
 	if !stream.engine.awaitThaw(ctx) {
 		loseReply(stream.writer)
 	}
-	return encodeFrame(stream.writer, dragonflyhatch.Frame{
+	frame := dragonflyhatch.Frame{
 		Request: stream.generation.Request, Attempt: stream.generation.Attempt,
 		Kind: kind, Position: position, Text: result.Text, Finish: finish,
 		Stage: result.Failed, Detail: result.Detail,
-	})
+	}
+	if kind != dragonflyhatch.FrameToken || position%framesPerLoad == 0 {
+		report := stream.engine.report()
+		frame.Load = &report
+	}
+	return encodeFrame(stream.writer, frame)
 }
 
+// framesPerLoad is how many tokens come between two load reports in a stream.
+const framesPerLoad = 8
+
 // step is the part of every stage but the head.
 func (engine *Engine) step(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
 	var activation Activation
