--- a/hatchproof/fleet_test.go
+++ b/hatchproof/fleet_test.go
@@ -27,6 +27,8 @@
 var (
 	binary  string
 	measure = flag.String("measure", "", "measure instead of prove: load or recovery")
+
+	measureFor = flag.Duration("measure-for", 12*time.Second, "length of a measured load")
 )
 
 func TestMain(m *testing.M) {
--- a/hatchproof/measure_test.go
+++ b/hatchproof/measure_test.go
@@ -27,7 +27,7 @@
 // measuredShape offers load times the capacity of a fleet.
 func measuredShape(fleet *fleet, load float64) hatchload.Shape {
 	rate := load * fleet.capacity() / meanTokens
-	return hatchload.Shape{Seed: 42, Duration: 12 * time.Second, Rate: rate, Orders: 0.02, Reads: 0.02, MaxTokens: 48}
+	return hatchload.Shape{Seed: 42, Duration: *measureFor, Rate: rate, Orders: 0.02, Reads: 0.02, MaxTokens: 48}
 }
 
 func wantMeasure(t *testing.T, what string) {
@@ -54,7 +54,9 @@
 		for _, policy := range policies {
 			t.Run(fmt.Sprintf("%v at %v", policy.name, load), func(t *testing.T) {
 				fleet := startSpec(t, measuredFleet(policy.policy))
-				report := fleet.load(measuredShape(fleet, load), func() {})
+				var busy, queued float64
+				report := fleet.load(measuredShape(fleet, load), func() { busy, queued = fleet.sampleEngines(*measureFor) })
+				t.Logf("%.1f of %d slots busy on average, %.1f streams queued at the engines", busy, fleet.spec.pipelines*fleet.spec.slots, queued)
 				fmt.Printf("| %v | %s | %.1f%% | %.1f%% | %d | %d | %v / %v / %v | %v / %v |\n", load, policy.name,
 					100*float64(report.InTimeTokens)/float64(report.BoundTokens), 100*float64(report.InTime)/float64(report.Sent),
 					report.Late, report.Sent-report.InTime-report.Late,
@@ -65,6 +67,23 @@
 	}
 }
 
+// sampleEngines returns the slots in use and the streams queued at all heads, on
+// average over the length of the load.
+func (fleet *fleet) sampleEngines(length time.Duration) (busy, queued float64) {
+	samples := 0.0
+	for end := time.Now().Add(length); time.Now().Before(end); samples++ {
+		for i := 0; i < len(fleet.engines); i += 2 {
+			var report dragonflyhatch.LoadReport
+			if err := fleet.get(fleet.engines[i], "/v1/load", &report); err == nil {
+				busy += float64(report.Streams)
+				queued += float64(report.QueuedTokens)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return busy / samples, queued / samples
+}
+
 // TestMeasureRecovery prints the longest stalls that callers see for each kind
 // of failure, at half of the capacity.
 func TestMeasureRecovery(t *testing.T) {
--- a/hatchroute/choose.go
+++ b/hatchroute/choose.go
@@ -26,6 +26,14 @@
 	Replicas []*Replica
 }
 
+// Free says whether, by what is known, no replica of the choice would make the
+// request wait.
+func (choice Choice) Free() bool {
+	return !slices.ContainsFunc(choice.Replicas, func(replica *Replica) bool {
+		return replica.Track.inFlight.Load()+replica.Track.others.Load() >= int64(replica.Slots)
+	})
+}
+
 // Begin notes at each replica that the request has been sent.
 func (choice Choice) Begin() {
 	for _, replica := range choice.Replicas {
@@ -47,7 +55,7 @@
 	crowding        = 0.3                            // of a replica with all slots in use
 	lateFactor      = 4
 	affinityGain    = 0.1 // share of the cost that a cached prefix may save
-	randomTries     = 2
+	randomTries     = 3
 	ringTries       = 2
 )
 
--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,8 +34,19 @@
 
 	admitted   admitted
 	firstToken time.Time // when it came
+	tried      time.Time // when the attempt under way began
+	moves      int       // attempts given up because they waited in an engine's queue
+	avoid      []string  // addresses that the next attempt is moved away from
 }
 
+// errMoved ends an attempt that waits at its engine while another one is free.
+var errMoved = errors.New("moved to a free engine")
+
+const (
+	moveAfter = 150 * time.Millisecond // in an engine's queue
+	maxMoves  = 4                      // of one completion
+)
+
 // Complete produces the answer to a completion and hands its tokens to deliver
 // in order, each once. After an error of deliver it gives up.
 func (daemon *Daemon) Complete(ctx context.Context, request hatchentry.Completion, deliver func(hatchentry.Piece) error) error {
@@ -84,10 +96,14 @@
 		if err != nil {
 			return completion.attempts.End(dragonflyhatch.FailureOf(err))
 		}
+		completion.avoid = nil
 		culprit, err := completion.try(ctx, choice)
 		if err == nil || completion.gone != nil {
 			return completion.gone
 		}
+		if errors.Is(err, errMoved) {
+			continue
+		}
 		failure := dragonflyhatch.FailureOf(err)
 		daemon.journal.Note(completion.request.Request, "attempt failed", failure.Error())
 		if end := completion.attempts.Failed(time.Now(), failure, culprit, daemon.budget); end != nil {
@@ -104,7 +120,7 @@
 		Prefix:  xxhash.Sum64String(completion.request.Prompt[:min(len(completion.request.Prompt), prefixLength)]),
 		Tokens:  completion.request.MaxTokens - completion.assembler.Next(),
 		Left:    time.Until(completion.request.Deadline),
-		Exclude: completion.attempts.Excluded(),
+		Exclude: slices.Concat(completion.attempts.Excluded(), completion.avoid),
 		Policy:  completion.daemon.settings.Policy.Choice,
 	}
 	choice, err := current.snapshot.Choose(time.Now(), request, completion.daemon.random)
@@ -123,6 +139,7 @@
 	daemon := completion.daemon
 	completion.attempt = hatchretry.NextAttempt(completion.attempt, time.Now())
 	completion.version = choice.Pipeline.Version
+	completion.tried = time.Now()
 	completion.assembler.Begin(completion.attempt)
 	for _, stage := range choice.Pipeline.Stages {
 		daemon.journal.Note(completion.request.Request, "stage chosen", stage.Upstream)
@@ -144,6 +161,9 @@
 	meter := &streamMeter{head: choice.Replicas[0].Track, last: time.Now()}
 	err := daemon.engine.Generate(ctx, generation, func(frame dragonflyhatch.Frame) error {
 		meter.frame(frame)
+		if completion.shouldMove(choice, frame) {
+			return errMoved
+		}
 		return completion.accept(frame)
 	})
 	if err == nil {
@@ -154,9 +174,37 @@
 		return "", nil
 	}
 	go completion.cancel(generation)
+	if errors.Is(err, errMoved) {
+		daemon.metrics.moves.Inc(1)
+		daemon.journal.Note(completion.request.Request, "moved", "waited in the queue of "+choice.Replicas[0].Name)
+		return "", err
+	}
 	return completion.failed(ctx, choice, err)
 }
 
+// shouldMove says whether the attempt, which has no token yet, had better be
+// made elsewhere: it has waited at its engine, and another one seems to be free.
+func (completion *completion) shouldMove(choice hatchroute.Choice, frame dragonflyhatch.Frame) bool {
+	if frame.Kind != dragonflyhatch.FrameHeartbeat || completion.daemon.settings.Policy.NoAdmission {
+		return false
+	}
+	if completion.moves == maxMoves || time.Since(completion.tried) < moveAfter {
+		return false
+	}
+	current, err := completion.daemon.ready()
+	if err != nil {
+		return false
+	}
+	completion.avoid = []string{choice.Replicas[0].Address}
+	other, err := completion.choose(current)
+	if err != nil || !other.Free() {
+		completion.avoid = nil
+		return false
+	}
+	completion.moves++
+	return true
+}
+
 // accept puts one frame into the answer.
 func (completion *completion) accept(frame dragonflyhatch.Frame) error {
 	delivery, err := completion.assembler.Accept(frame)
--- a/hatchserve/daemon.go
+++ b/hatchserve/daemon.go
@@ -63,6 +63,7 @@
 // serveMetrics are the daemon's own meters.
 type serveMetrics struct {
 	resumes   metrics.Counter // attempts at an answer after the first
+	moves     metrics.Counter // attempts moved from a queue to a free engine
 	takeOvers metrics.Counter // orders handed to a further host
 	unknown   metrics.Counter // answers that do not say whether the request ran
 	refused   metrics.Counter // answers that say that it did not
@@ -113,6 +114,7 @@
 		started: time.Now(),
 		metrics: serveMetrics{
 			resumes:   metrics.NewRegisteredCounter("completions.resumes", registry),
+			moves:     metrics.NewRegisteredCounter("completions.moves", registry),
 			takeOvers: metrics.NewRegisteredCounter("orders.handedOn", registry),
 			unknown:   metrics.NewRegisteredCounter("answers.unknown", registry),
 			refused:   metrics.NewRegisteredCounter("answers.notRun", registry),
