Fair queueing estimates with saved-up turns; waiting weighed above running; a bound on waiting

Causes found by sampling the engines by kind: the slow ones idled (21 of 30 busy) while 23 streams queued at the fast ones, because a queue at a fast engine looked cheaper to the single answer.

--- a/hatchlimit/limiter.go
+++ b/hatchlimit/limiter.go
@@ -14,6 +14,8 @@
 	MaxWindow     float64       // and at the most
 	QueueTarget   time.Duration // wait at the engines that is taken as full
 	MaxWaiting    int           // requests that wait at once
+	WaitPart      float64       // of the time left that a request may spend waiting here
+	Burst         time.Duration // of the whole pace that an organisation may save up for each unit of its share
 }
 
 // DefaultOptions returns the options that docs/DECISIONS.md gives reasons for.
@@ -24,6 +26,8 @@
 		MaxWindow:     4096,
 		QueueTarget:   400 * time.Millisecond,
 		MaxWaiting:    8192,
+		WaitPart:      0.25,
+		Burst:         500 * time.Millisecond,
 	}
 }
 
@@ -143,9 +147,16 @@
 	if limiter.waiting >= limiter.options.MaxWaiting {
 		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindOverloaded, Detail: "too many requests wait"}
 	}
-	if now.Add(limiter.wait(share, ticket) + limiter.service(ticket)).After(ticket.Deadline) {
+	wait := limiter.wait(share, ticket)
+	left := ticket.Deadline.Sub(now)
+	if wait+limiter.service(ticket) > left {
 		return tooShort()
 	}
+	// A request that has waited long can be served by the fastest engines
+	// only, and the others would idle.
+	if wait > seconds(left.Seconds()*limiter.options.WaitPart) {
+		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindOverloaded, Detail: "the request would have to wait too long"}
+	}
 	return nil
 }
 
@@ -153,23 +164,30 @@
 	return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindDeadlineTooShort, Detail: "the engines are too busy for the request to finish in time"}
 }
 
-// wait estimates how long the request waits here: the tokens before it in its
-// own queue, at the rate that the organisation is sure to get.
+// wait estimates how long the request waits here: the tokens that fair queueing
+// sends before it, at the pace of the engines.
 func (limiter *Limiter) wait(share *share, ticket *Ticket) time.Duration {
 	rate := limiter.pace.rate
 	if limiter.waiting == 0 || rate == 0 {
 		return 0
 	}
-	weights := share.weight
-	total := 0.0
+	own := share.before(ticket.Deadline, limiter)
+	due := limiter.turn(share) + own/share.weight
+	ahead := own
 	for _, other := range limiter.shares {
-		total += other.tokens
-		if other != share && len(other.queue) > 0 {
-			weights += other.weight
+		if other == share {
+			continue
 		}
+		lead := due - limiter.turn(other)
+		ahead += min(other.tokens, max(0, lead*other.weight))
 	}
-	own := share.before(ticket.Deadline, limiter) * weights / share.weight
-	return seconds(min(own, total) / rate)
+	return seconds(ahead / rate)
+}
+
+// turn returns when the share's next request is due, in fair-queueing time. A
+// share that was not used keeps a little of it for a burst.
+func (limiter *Limiter) turn(share *share) float64 {
+	return max(limiter.virtual-limiter.pace.rate*limiter.options.Burst.Seconds(), share.virtual)
 }
 
 // before returns the tokens in the queue that go before the deadline.
@@ -208,8 +226,9 @@
 			limiter.refuse(ticket, tooShort())
 			continue
 		}
-		limiter.virtual = max(limiter.virtual, share.virtual)
-		share.virtual = limiter.virtual + tokens/share.weight
+		turn := limiter.turn(share)
+		limiter.virtual = max(limiter.virtual, turn)
+		share.virtual = turn + tokens/share.weight
 		limiter.inFlight++
 		ticket.begun = now
 		limiter.decisions = append(limiter.decisions, Decision{Ticket: ticket})
@@ -223,7 +242,7 @@
 		if len(share.queue) == 0 {
 			continue
 		}
-		if first == nil || share.virtual < first.virtual || share.virtual == first.virtual && share.name < first.name {
+		if first == nil || limiter.turn(share) < limiter.turn(first) || limiter.turn(share) == limiter.turn(first) && share.name < first.name {
 			first = share
 		}
 	}
--- a/hatchproof/measure_test.go
+++ b/hatchproof/measure_test.go
@@ -71,10 +71,18 @@
 // average over the length of the load.
 func (fleet *fleet) sampleEngines(length time.Duration) (busy, queued float64) {
 	samples := 0.0
+	kinds := make(map[time.Duration][2]float64)
+	defer func() {
+		for kind, sums := range kinds {
+			fleet.t.Logf("kind %v: busy %.1f, queued %.1f", kind, sums[0]/samples, sums[1]/samples)
+		}
+	}()
 	for end := time.Now().Add(length); time.Now().Before(end); samples++ {
 		for i := 0; i < len(fleet.engines); i += 2 {
 			var report dragonflyhatch.LoadReport
 			if err := fleet.get(fleet.engines[i], "/v1/load", &report); err == nil {
+				kind := fleet.interval(i / 2)
+				kinds[kind] = [2]float64{kinds[kind][0] + float64(report.Streams), kinds[kind][1] + float64(report.QueuedTokens)}
 				busy += float64(report.Streams)
 				queued += float64(report.QueuedTokens)
 			}
--- a/hatchroute/choose.go
+++ b/hatchroute/choose.go
@@ -54,6 +54,7 @@
 	remoteCost      = float64(time.Millisecond)      // of a replica in another site
 	crowding        = 0.3                            // of a replica with all slots in use
 	lateFactor      = 4
+	waitWeight      = 4   // of time in a queue, which leaves a free slot elsewhere unused
 	affinityGain    = 0.1 // share of the cost that a cached prefix may save
 	randomTries     = 3
 	ringTries       = 2
@@ -202,12 +203,12 @@
 	load := float64(track.inFlight.Load()+track.others.Load()) / float64(replica.Slots)
 	// Beyond its slots a replica makes a request wait for a part of the
 	// answers before it; below them more load is still a little worse.
-	wait := interval * tokens * max(0, load+1/float64(replica.Slots)-1)
+	wait := waitWeight * interval * tokens * max(0, load+1/float64(replica.Slots)-1)
 	cost := wait + interval*tokens*(1+load*crowding)
 	if !replica.Local {
 		cost += remoteCost
 	}
-	if request.Left > 0 && cost > float64(request.Left) {
+	if request.Left > 0 && wait/waitWeight+interval*tokens > float64(request.Left) {
 		cost *= lateFactor
 	}
 	return cost * track.ramp(now)
