--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -44,17 +44,15 @@
 	attempts.excluded = nil
 }
 
-// Failed takes the failure of an attempt, and the address at fault if one is
-// known. It returns nil if another attempt is to follow; budget is asked once
-// for it.
-func (attempts *Attempts) Failed(now time.Time, failure *dragonflyhatch.Failure, culprit string, budget *Budget) error {
+// Failed takes the failure of an attempt, and the addresses at fault as far as
+// they are known. It returns nil if another attempt is to follow; budget is asked
+// once for it.
+func (attempts *Attempts) Failed(now time.Time, failure *dragonflyhatch.Failure, culprits []string, budget *Budget) error {
 	attempts.count++
 	if failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
 		attempts.maybeRan = true
 	}
-	if culprit != "" {
-		attempts.excluded = append(attempts.excluded, culprit)
-	}
+	attempts.excluded = append(attempts.excluded, culprits...)
 	switch {
 	case !now.Before(attempts.deadline):
 		return attempts.End(deadlineFailure(failure))
--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
 
 	"dragonflyhatch"
 	"dragonflyhatch/hatchanswer"
@@ -97,7 +98,7 @@
 			return completion.attempts.End(dragonflyhatch.FailureOf(err))
 		}
 		completion.avoid = nil
-		culprit, err := completion.try(ctx, choice)
+		culprits, err := completion.try(ctx, choice)
 		if err == nil || completion.gone != nil {
 			return completion.gone
 		}
@@ -106,7 +107,7 @@
 		}
 		failure := dragonflyhatch.FailureOf(err)
 		daemon.journal.Note(completion.request.Request, "attempt failed", failure.Error())
-		if end := completion.attempts.Failed(time.Now(), failure, culprit, daemon.budget); end != nil {
+		if end := completion.attempts.Failed(time.Now(), failure, culprits, daemon.budget); end != nil {
 			return end
 		}
 		daemon.metrics.resumes.Inc(1)
@@ -133,9 +134,9 @@
 	return choice, err
 }
 
-// try makes one attempt. It returns the failure and the address at fault, if
-// that is known.
-func (completion *completion) try(ctx context.Context, choice hatchroute.Choice) (string, error) {
+// try makes one attempt. It returns the failure and the addresses at fault, as
+// far as they are known.
+func (completion *completion) try(ctx context.Context, choice hatchroute.Choice) ([]string, error) {
 	daemon := completion.daemon
 	completion.attempt = hatchretry.NextAttempt(completion.attempt, time.Now())
 	completion.version = choice.Pipeline.Version
@@ -171,13 +172,13 @@
 	}
 	if err == nil {
 		choice.Succeeded(time.Now())
-		return "", nil
+		return nil, nil
 	}
 	go completion.cancel(generation)
 	if errors.Is(err, errMoved) {
 		daemon.metrics.moves.Inc(1)
 		daemon.journal.Note(completion.request.Request, "moved", "waited in the queue of "+choice.Replicas[0].Name)
-		return "", err
+		return nil, err
 	}
 	return completion.failed(ctx, choice, err)
 }
@@ -253,28 +254,62 @@
 }
 
 // failed turns the end of an attempt into a Failure and finds who is at fault.
-func (completion *completion) failed(ctx context.Context, choice hatchroute.Choice, err error) (string, error) {
+func (completion *completion) failed(ctx context.Context, choice hatchroute.Choice, err error) ([]string, error) {
 	var failure *dragonflyhatch.Failure
 	if !errors.As(err, &failure) {
 		failure = &dragonflyhatch.Failure{Kind: dragonflyhatch.KindUpstreamLost, Detail: err.Error(), Cause: err}
 	}
 	if ctx.Err() != nil || completion.gone != nil {
-		return "", failure
+		return nil, failure
+	}
+	var leaving *hatchupstream.LeavingError
+	if errors.As(err, &leaving) {
+		completion.daemon.upstreamSaid(leaving.Address, true)
+		return []string{leaving.Address}, failure
+	}
+	var addresses []string
+	for _, culprit := range completion.culprits(ctx, choice, err) {
+		culprit.Track.Failed(time.Now())
+		addresses = append(addresses, culprit.Address)
+	}
+	return addresses, failure
+}
+
+// culprits returns the replicas at fault: the stage that the head has named, or
+// those that do not answer when a stream went silent, or else the head.
+func (completion *completion) culprits(ctx context.Context, choice hatchroute.Choice, err error) []*hatchroute.Replica {
+	if errors.Is(err, hatchupstream.ErrSilent) {
+		return completion.daemon.unanswering(ctx, choice.Replicas)
 	}
-	culprit := choice.Replicas[0]
 	var stage *stageError
 	if errors.As(err, &stage) {
-		if found := choice.Named(stage.upstream); found != nil {
-			culprit = found
+		if named := choice.Named(stage.upstream); named != nil {
+			return []*hatchroute.Replica{named}
 		}
 	}
-	var leaving *hatchupstream.LeavingError
-	if errors.As(err, &leaving) {
-		completion.daemon.upstreamSaid(leaving.Address, true)
-		return culprit.Address, failure
+	return choice.Replicas[:1]
+}
+
+// probeTimeout bounds the look at the stages of a silent stream.
+const probeTimeout = 150 * time.Millisecond
+
+// unanswering returns the replicas that do not answer now. If all of them do,
+// only the connection was silent, and nobody is at fault.
+func (daemon *Daemon) unanswering(ctx context.Context, replicas []*hatchroute.Replica) []*hatchroute.Replica {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	probes := iter.Mapper[*hatchroute.Replica, bool]{}
+	answers := probes.Map(replicas, func(replica **hatchroute.Replica) bool {
+		_, err := daemon.engine.Load(ctx, (*replica).Address)
+		return err == nil
+	})
+	var silent []*hatchroute.Replica
+	for i, answered := range answers {
+		if !answered {
+			silent = append(silent, replicas[i])
+		}
 	}
-	culprit.Track.Failed(time.Now())
-	return culprit.Address, failure
+	return silent
 }
 
 // cancelTimeout bounds the telling of stages that an attempt is over.
--- a/hatchupstream/client.go
+++ b/hatchupstream/client.go
@@ -56,8 +56,9 @@
 
 // lost returns the failure of a call that broke off.
 func (trace *sentTrace) lost(address string, err error) error {
+	kind := dragonflyhatch.KindUpstreamLost
 	if !trace.sent.Load() {
-		return dragonflyhatch.Fail(dragonflyhatch.KindUpstreamUnavailable, "%s: %v", address, err)
+		kind = dragonflyhatch.KindUpstreamUnavailable
 	}
-	return dragonflyhatch.Fail(dragonflyhatch.KindUpstreamLost, "%s: %v", address, err)
+	return &dragonflyhatch.Failure{Kind: kind, Detail: address + ": " + err.Error(), Cause: err}
 }
--- a/hatchupstream/engine.go
+++ b/hatchupstream/engine.go
@@ -71,8 +71,9 @@
 	suspect.CloseIdleConnections()
 }
 
-// errSilent ends a stream that sent nothing for too long.
-var errSilent = errors.New("the stream went silent")
+// ErrSilent is the cause of the failure of a stream that sent nothing for too
+// long. Any stage may be at fault, or only the connection.
+var ErrSilent = errors.New("the stream went silent")
 
 // Generate opens a stream at the pipeline's head and calls emit for each frame.
 func (engine *Engine) Generate(ctx context.Context, generation dragonflyhatch.Generation, emit func(dragonflyhatch.Frame) error) error {
@@ -83,7 +84,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(engine.silence, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(engine.silence, func() { cancel(ErrSilent) })
 	defer watchdog.Stop()
 
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/generate", bytes.NewReader(body))
