--- a/hatchlimit/limiter.go
+++ b/hatchlimit/limiter.go
@@ -135,8 +135,9 @@
 	return max(1, float64(ticket.Tokens)*limiter.length.value)
 }
 
-// service returns how long few requests of the kind exceed once they are sent;
-// nothing is known of it before the first answers.
+// service returns how long few requests of the kind exceed at the faster engines
+// once they are sent; the choice of an engine sees to it that long answers go
+// there. Nothing is known of it before the first answers.
 func (limiter *Limiter) service(ticket *Ticket) time.Duration {
 	return seconds(limiter.firstToken.value + limiter.perToken.value*float64(ticket.Tokens)*limiter.longest.value)
 }
--- a/hatchroute/choose.go
+++ b/hatchroute/choose.go
@@ -271,3 +271,14 @@
 	}
 	return nil
 }
+
+// At returns the replicas at the addresses.
+func (choice Choice) At(addresses []string) []*Replica {
+	var found []*Replica
+	for _, replica := range choice.Replicas {
+		if slices.Contains(addresses, replica.Address) {
+			found = append(found, replica)
+		}
+	}
+	return found
+}
--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc/iter"
 
 	"dragonflyhatch"
 	"dragonflyhatch/hatchanswer"
@@ -268,7 +267,7 @@
 		return []string{leaving.Address}, failure
 	}
 	var addresses []string
-	for _, culprit := range completion.culprits(ctx, choice, err) {
+	for _, culprit := range completion.culprits(choice, err) {
 		culprit.Track.Failed(time.Now())
 		addresses = append(addresses, culprit.Address)
 	}
@@ -276,10 +275,12 @@
 }
 
 // culprits returns the replicas at fault: the stage that the head has named, or
-// those that do not answer when a stream went silent, or else the head.
-func (completion *completion) culprits(ctx context.Context, choice hatchroute.Choice, err error) []*hatchroute.Replica {
-	if errors.Is(err, hatchupstream.ErrSilent) {
-		return completion.daemon.unanswering(ctx, choice.Replicas)
+// those that did not answer when a stream went silent, or else the head. When
+// only the connection was silent nobody is.
+func (completion *completion) culprits(choice hatchroute.Choice, err error) []*hatchroute.Replica {
+	var silent *hatchupstream.SilentError
+	if errors.As(err, &silent) {
+		return choice.At(silent.Unanswering)
 	}
 	var stage *stageError
 	if errors.As(err, &stage) {
@@ -290,28 +291,6 @@
 	return choice.Replicas[:1]
 }
 
-// probeTimeout bounds the look at the stages of a silent stream.
-const probeTimeout = 150 * time.Millisecond
-
-// unanswering returns the replicas that do not answer now. If all of them do,
-// only the connection was silent, and nobody is at fault.
-func (daemon *Daemon) unanswering(ctx context.Context, replicas []*hatchroute.Replica) []*hatchroute.Replica {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	probes := iter.Mapper[*hatchroute.Replica, bool]{}
-	answers := probes.Map(replicas, func(replica **hatchroute.Replica) bool {
-		_, err := daemon.engine.Load(ctx, (*replica).Address)
-		return err == nil
-	})
-	var silent []*hatchroute.Replica
-	for i, answered := range answers {
-		if !answered {
-			silent = append(silent, replicas[i])
-		}
-	}
-	return silent
-}
-
 // cancelTimeout bounds the telling of stages that an attempt is over.
 const cancelTimeout = 2 * time.Second
 
--- a/hatchupstream/engine.go
+++ b/hatchupstream/engine.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -71,9 +72,16 @@
 	suspect.CloseIdleConnections()
 }
 
-// ErrSilent is the cause of the failure of a stream that sent nothing for too
-// long. Any stage may be at fault, or only the connection.
-var ErrSilent = errors.New("the stream went silent")
+// SilentError is the cause of the failure of a stream that sent nothing for too
+// long: stages do not answer, or, if there are none, only the connection is dead.
+type SilentError struct {
+	Unanswering []string // addresses of stages
+}
+
+// Error names the stages that do not answer.
+func (err *SilentError) Error() string {
+	return fmt.Sprintf("the stream went silent; %d stages do not answer: %v", len(err.Unanswering), err.Unanswering)
+}
 
 // Generate opens a stream at the pipeline's head and calls emit for each frame.
 func (engine *Engine) Generate(ctx context.Context, generation dragonflyhatch.Generation, emit func(dragonflyhatch.Frame) error) error {
@@ -84,8 +92,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(engine.silence, func() { cancel(ErrSilent) })
-	defer watchdog.Stop()
+	watchdog := engine.watch(ctx, generation.Pipeline.Stages, cancel)
+	defer watchdog.stop()
 
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/generate", bytes.NewReader(body))
 	if err != nil {
@@ -105,7 +113,7 @@
 	frames := bufio.NewScanner(response.Body)
 	frames.Buffer(nil, maxFrame)
 	for frames.Scan() {
-		watchdog.Reset(engine.silence)
+		watchdog.heard()
 		var frame dragonflyhatch.Frame
 		if err := json.Unmarshal(frames.Bytes(), &frame); err != nil {
 			return trace.lost(address, err)
