Refusals by what a request needs at the least while nothing waits

Cause of wrong refusals at half of the capacity (6 of 767): the estimate was taken from a first few answers, some of two tokens, and counted nearly the longest answer though engines were free. Now: ten whole answers before any refusal, paces from answers of eight tokens on, and, with nobody waiting, only what could not finish at all is refused.

--- a/hatchlimit/learn.go
+++ b/hatchlimit/learn.go
@@ -8,6 +8,9 @@
 	floorRise     = 0.002 // by which a floor follows samples above it
 	shrinkBy      = 0.9   // of the window, when the engines are full
 	busyPart      = 0.8   // of the window that must be in use for it to grow
+	leastPart     = 0.5   // of the expected answer that a request must have time for
+	minLearnt     = 10    // whole answers before any request is refused by them
+	minSample     = 8     // tokens of an answer whose pace is taken
 	quantileLevel = 0.95  // of the samples that stay below
 	quantileStep  = 0.02  // by which a sample moves it at the least
 	paceSlot      = 500 * time.Millisecond
@@ -100,11 +103,12 @@
 	if result.Late && !ticket.first {
 		limiter.shrink(now, ticket)
 	}
-	if result.Tokens > 1 {
+	if result.Tokens >= minSample {
 		limiter.perToken.add(result.AfterFirst.Seconds() / float64(result.Tokens-1))
 	}
 	if result.Whole {
 		part := float64(result.Tokens) / float64(max(1, ticket.Tokens))
+		limiter.learnt++
 		limiter.length.add(part)
 		limiter.longest.add(part)
 	}
--- a/hatchlimit/limiter.go
+++ b/hatchlimit/limiter.go
@@ -65,6 +65,7 @@
 	perToken   smooth   // seconds
 	length     smooth   // tokens of an answer as part of those wanted
 	longest    quantile // of the same, what few answers exceed
+	learnt     int      // whole answers
 
 	decisions []Decision // of the event under way
 }
@@ -142,14 +143,29 @@
 	return seconds(limiter.firstToken.value + limiter.perToken.value*float64(ticket.Tokens)*limiter.longest.value)
 }
 
+// least returns how long the request takes at the least, at an engine that is
+// free.
+func (limiter *Limiter) least(ticket *Ticket) time.Duration {
+	return seconds(limiter.leastFirst.value + limiter.perToken.value*limiter.expected(ticket)*leastPart)
+}
+
 // hopeless returns the refusal of a request that cannot finish by its deadline,
 // or nil.
 func (limiter *Limiter) hopeless(now time.Time, share *share, ticket *Ticket) *dragonflyhatch.Failure {
 	if limiter.waiting >= limiter.options.MaxWaiting {
 		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindOverloaded, Detail: "too many requests wait"}
 	}
-	wait := limiter.wait(share, ticket)
 	left := ticket.Deadline.Sub(now)
+	if limiter.learnt < minLearnt {
+		return nil
+	}
+	if limiter.waiting == 0 && float64(limiter.inFlight) < limiter.window {
+		if limiter.least(ticket) > left {
+			return tooShort()
+		}
+		return nil
+	}
+	wait := limiter.wait(share, ticket)
 	if wait+limiter.service(ticket) > left {
 		return tooShort()
 	}
@@ -223,7 +239,7 @@
 		limiter.waiting--
 		tokens := limiter.expected(ticket)
 		share.tokens = max(0, share.tokens-tokens)
-		if now.Add(limiter.service(ticket)).After(ticket.Deadline) {
+		if limiter.late(now, ticket) {
 			limiter.refuse(ticket, tooShort())
 			continue
 		}
@@ -236,6 +252,19 @@
 	}
 }
 
+// late says whether a request whose turn it is had better be refused: it could
+// not finish at all, or it likely could not and others wait for its place.
+func (limiter *Limiter) late(now time.Time, ticket *Ticket) bool {
+	if limiter.learnt < minLearnt {
+		return false
+	}
+	needed := limiter.least(ticket)
+	if limiter.waiting > 0 {
+		needed = limiter.service(ticket)
+	}
+	return now.Add(needed).After(ticket.Deadline)
+}
+
 // next returns the share whose turn it is.
 func (limiter *Limiter) next() *share {
 	var first *share
--- /dev/null
+++ b/hatchroute/bench_test.go
@@ -0,0 +1,65 @@
+package hatchroute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dragonflyhatch/hatchconfig"
+)
+
+// sizedConfiguration has replicas spread over 9 models of two stages each.
+func sizedConfiguration(replicas int) *hatchconfig.Configuration {
+	const models, layers = 9, 32
+	configuration := &hatchconfig.Configuration{
+		Site:    "s0",
+		Models:  make(map[string]hatchconfig.Model),
+		Engines: make(map[string]hatchconfig.Engine),
+	}
+	for i := range models {
+		configuration.Models[fmt.Sprintf("m%d", i)] = hatchconfig.Model{Layers: layers, MaxTokens: 512}
+	}
+	for i := range replicas {
+		first := i / models % 2 * layers / 2
+		configuration.Engines[fmt.Sprintf("e%d", i)] = hatchconfig.Engine{
+			Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), Site: fmt.Sprintf("s%d", i%11),
+			Model: fmt.Sprintf("m%d", i%models), Version: "v1", FirstLayer: first, EndLayer: first + layers/2, Slots: 8,
+		}
+	}
+	return configuration
+}
+
+func never(string) bool { return false }
+
+// BenchmarkChoose is the choice of a pipeline on the path of a request.
+func BenchmarkChoose(b *testing.B) {
+	for _, replicas := range []int{500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			snapshot := NewSnapshot(sizedConfiguration(replicas), never, NewTracks())
+			random := rand.New(rand.NewPCG(1, 1))
+			now := time.Now()
+			request := Request{Model: "m1", Tokens: 64, Left: 4 * time.Second}
+			b.ReportAllocs()
+			for b.Loop() {
+				request.Prefix = random.Uint64()
+				if _, err := snapshot.Choose(now, request, random); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot is what a change of the configuration or of a drain costs.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, replicas := range []int{500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			configuration, tracks := sizedConfiguration(replicas), NewTracks()
+			b.ReportAllocs()
+			for b.Loop() {
+				NewSnapshot(configuration, never, tracks)
+			}
+		})
+	}
+}
