--- a/hatchconfig/tree.go
+++ b/hatchconfig/tree.go
@@ -16,6 +16,7 @@
 	object   bool
 	array    bool
 	members  []member
+	places   map[string]int // of the members, by name
 	elements []*node
 	literal  hujson.Literal
 }
@@ -51,11 +52,19 @@
 	file   string
 	text   []byte
 	faults Faults
+	offset int // up to which lines have been counted
+	lines  int
+}
+
+// lineAt returns the line of an offset; offsets come in rising order.
+func (reader *treeReader) lineAt(offset int) int {
+	reader.lines += bytes.Count(reader.text[reader.offset:offset], []byte("\n"))
+	reader.offset = offset
+	return 1 + reader.lines
 }
 
 func (reader *treeReader) read(value hujson.Value, path string) *node {
-	line := 1 + bytes.Count(reader.text[:value.StartOffset], []byte("\n"))
-	at := Position{File: reader.file, Line: line}
+	at := Position{File: reader.file, Line: reader.lineAt(value.StartOffset)}
 	switch value := value.Value.(type) {
 	case *hujson.Object:
 		return reader.readObject(value, at, path)
@@ -80,11 +89,20 @@
 			reader.faults = append(reader.faults, Fault{child.at, join(path, name), "is given twice"})
 			continue
 		}
-		object.members = append(object.members, member{name, child})
+		object.add(name, child)
 	}
 	return object
 }
 
+// add appends a member of a new name.
+func (node *node) add(name string, value *node) {
+	if node.places == nil {
+		node.places = make(map[string]int)
+	}
+	node.places[name] = len(node.members)
+	node.members = append(node.members, member{name, value})
+}
+
 // join appends a field's name to a path.
 func join(path, name string) string {
 	if path == "" {
@@ -94,12 +112,11 @@
 }
 
 func (node *node) member(name string) *node {
-	for _, member := range node.members {
-		if member.name == name {
-			return member.value
-		}
+	place, ok := node.places[name]
+	if !ok {
+		return nil
 	}
-	return nil
+	return node.members[place].value
 }
 
 func (node *node) null() bool {
@@ -141,14 +158,14 @@
 		above := overlay.member(below.name)
 		switch {
 		case above == nil:
-			merged.members = append(merged.members, below)
+			merged.add(below.name, below.value)
 		case !above.null():
-			merged.members = append(merged.members, member{below.name, merge(below.value, above)})
+			merged.add(below.name, merge(below.value, above))
 		}
 	}
 	for _, above := range overlay.members {
 		if base.member(above.name) == nil && !above.value.null() {
-			merged.members = append(merged.members, above)
+			merged.add(above.name, above.value)
 		}
 	}
 	return merged
--- a/hatchpeer/client.go
+++ b/hatchpeer/client.go
@@ -21,18 +21,32 @@
 
 // Client calls other daemons.
 type Client struct {
-	http *http.Client
+	transport *http.Transport
+	http      *http.Client
 }
 
 var _ dragonflyhatch.Peer = (*Client)(nil)
 
+// Option changes a client.
+type Option func(*Client)
+
+// WithDialer sets how connections are opened.
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(client *Client) { client.transport.DialContext = dial }
+}
+
 // NewClient returns a client of other daemons.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+func NewClient(options ...Option) *Client {
+	client := &Client{transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
-	}}}
+	}}
+	for _, option := range options {
+		option(client)
+	}
+	client.http = &http.Client{Transport: client.transport}
+	return client
 }
 
 func (client *Client) peer(address string) Peer {
--- a/hatchproof/measure_test.go
+++ b/hatchproof/measure_test.go
@@ -135,3 +135,58 @@
 		})
 	}
 }
+
+// controlMeters are the meters of what a daemon spends on control.
+type controlMeters struct {
+	PeerBytes     metered `json:"peers.bytes"`
+	PlatformBytes metered `json:"platform.bytes"`
+	Reads         metered `json:"platform.reads"`
+	Writes        metered `json:"platform.writes"`
+	Watches       metered `json:"platform.watches"`
+	CPU           metered `json:"process.cpuMilliseconds"`
+}
+
+type metered struct {
+	Count float64 `json:"count"`
+	Value float64 `json:"value"`
+}
+
+// spent adds up the meters of all hosts.
+func (fleet *fleet) spent() controlMeters {
+	var sum controlMeters
+	for _, host := range fleet.hosts {
+		var meters controlMeters
+		if err := fleet.get(host.settings.OperatorAddress, "/metrics", &meters); err != nil {
+			fleet.t.Fatal(err)
+		}
+		sum.PeerBytes.Count += meters.PeerBytes.Count
+		sum.PlatformBytes.Count += meters.PlatformBytes.Count
+		sum.Reads.Count += meters.Reads.Count
+		sum.Writes.Count += meters.Writes.Count
+		sum.Watches.Count += meters.Watches.Count
+		sum.CPU.Value += meters.CPU.Value
+	}
+	return sum
+}
+
+// TestMeasureControl prints what a daemon of a fleet without callers spends, for
+// growing fleets.
+func TestMeasureControl(t *testing.T) {
+	wantMeasure(t, "control")
+	for _, hosts := range []int{8, 16, 32, 64} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			spec := smallFleet(hosts, 4)
+			fleet := startSpec(t, spec)
+			time.Sleep(5 * time.Second)
+			before := fleet.spent()
+			time.Sleep(*measureFor)
+			after := fleet.spent()
+			each := float64(hosts) * measureFor.Seconds()
+			fmt.Printf("| %d | %.0f B/s | %.0f B/s | %.2f%% | %.1f/s | %.2f/s | %.2f/s |\n", hosts,
+				(after.PeerBytes.Count-before.PeerBytes.Count)/each, (after.PlatformBytes.Count-before.PlatformBytes.Count)/each,
+				(after.CPU.Value-before.CPU.Value)/each/10,
+				(after.Reads.Count-before.Reads.Count)/measureFor.Seconds(), (after.Writes.Count-before.Writes.Count)/measureFor.Seconds(),
+				(after.Watches.Count-before.Watches.Count)/measureFor.Seconds())
+		})
+	}
+}
--- a/hatchserve/control.go
+++ b/hatchserve/control.go
@@ -173,6 +173,9 @@
 // applyTries bounds the reads that find out what became of a write.
 const applyTries = 5
 
+// maxObject is the largest value that the platform holds, in bytes.
+const maxObject = 1 << 20
+
 // maxRecent bounds the memory of accepted changes in the configuration object.
 const maxRecent = 64
 
@@ -222,6 +225,9 @@
 		if err = daemon.writeConfiguration(ctx, version, next); err == nil {
 			return next, nil
 		}
+		if dragonflyhatch.KindOf(err) == dragonflyhatch.KindConfigurationInvalid {
+			return next, err
+		}
 		unsure = unsure || !errors.Is(err, dragonflyhatch.ErrVersionChanged)
 	}
 	if unsure {
@@ -271,6 +277,9 @@
 	if err != nil {
 		return err
 	}
+	if len(value) > maxObject {
+		return dragonflyhatch.Fail(dragonflyhatch.KindConfigurationInvalid, "%d bytes are more than an object of the platform holds", len(value))
+	}
 	if version == 0 {
 		_, err = daemon.platform.Create(ctx, configurationName, value)
 		return err
--- a/hatchserve/daemon.go
+++ b/hatchserve/daemon.go
@@ -83,6 +83,12 @@
 	return func(daemon *Daemon) { daemon.platform = platform }
 }
 
+// peerBytes is the meter of the bytes that daemons exchange, both ways.
+const (
+	peerBytes       = "peers.bytes"
+	peerDialTimeout = 300 * time.Millisecond
+)
+
 // sharedRandom draws from the process's generator, which may be used by several
 // goroutines.
 type sharedRandom struct{}
@@ -104,7 +110,8 @@
 			hatchplatform.WithTimeout(time.Duration(timing.PlatformTimeout)), hatchplatform.WithMetrics(registry)),
 		engine:  hatchupstream.NewEngine(hatchupstream.WithSilence(time.Duration(timing.StreamSilence))),
 		service: hatchupstream.NewService(),
-		peer:    hatchpeer.NewClient(),
+		peer: hatchpeer.NewClient(hatchpeer.WithDialer(
+			countedDialer(peerDialTimeout, metrics.GetOrRegisterCounter(peerBytes, registry)))),
 		journal: hatchaudit.NewJournal(settings.Host),
 		tracks:  hatchroute.NewTracks(),
 		budget:  hatchretry.NewBudget(),
@@ -121,6 +128,7 @@
 			served:    metrics.NewRegisteredCounter("answers.served", registry),
 		},
 	}
+	registerProcessMeters(registry)
 	for _, option := range options {
 		option(daemon)
 	}
--- a/hatchserve/run.go
+++ b/hatchserve/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	"dragonflyhatch/hatchentry"
@@ -17,6 +18,8 @@
 // may be as large as an object of the platform.
 const maxOperatorBody = 2 << 20
 
+const peerListener = "peers"
+
 // listener is one of the daemon's HTTP servers.
 type listener struct {
 	name   string
@@ -36,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := daemon.listen("peers", daemon.settings.PeerAddress, hatchpeer.NewHandler(daemon))
+	peers, err := daemon.listen(peerListener, daemon.settings.PeerAddress, hatchpeer.NewHandler(daemon))
 	if err != nil {
 		return err
 	}
@@ -60,6 +63,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listener for %s", name)
 	}
+	if name == peerListener {
+		socket = &countedListener{socket, metrics.GetOrRegisterCounter(peerBytes, daemon.registry)}
+	}
 	listener := &listener{name: name, socket: socket, server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(daemon.settings.Limits.HeaderTimeout),
