A moved attempt counts as one that may have run; what stood unused is gone

Cause, seen in reading: an attempt that is given up while it waits at its engine may have been begun in that moment, and a later refusal then said 'not run'. Table tests for attempts and the retry budget, which had none.

--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -44,6 +44,12 @@
 	attempts.excluded = nil
 }
 
+// Moved notes an attempt that was given up while it waited at its engine. The
+// engine may have begun it in that moment.
+func (attempts *Attempts) Moved() {
+	attempts.maybeRan = true
+}
+
 // Failed takes the failure of an attempt, and the addresses at fault as far as
 // they are known. It returns nil if another attempt is to follow; budget is asked
 // once for it.
--- /dev/null
+++ b/hatchretry/attempts_test.go
@@ -0,0 +1,66 @@
+package hatchretry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"dragonflyhatch"
+)
+
+func failure(kind dragonflyhatch.Kind) *dragonflyhatch.Failure {
+	return &dragonflyhatch.Failure{Kind: kind, Detail: "test"}
+}
+
+func TestAttempts(t *testing.T) {
+	now := time.Unix(100, 0)
+	deadline := now.Add(time.Second)
+	convey.Convey("An attempt that surely did not run is followed by others, and at last told as not run", t, func() {
+		attempts, budget := NewAttempts(deadline, false), NewBudget()
+		for range maxAttempts - 1 {
+			convey.So(attempts.Failed(now, failure(dragonflyhatch.KindUpstreamUnavailable), []string{"a"}, budget), convey.ShouldBeNil)
+		}
+		end := attempts.Failed(now, failure(dragonflyhatch.KindUpstreamUnavailable), nil, budget)
+		convey.So(dragonflyhatch.KindOf(end), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
+		convey.So(attempts.Excluded(), convey.ShouldContain, "a")
+	})
+	convey.Convey("After an attempt that may have run no refusal says that none did", t, func() {
+		for name, before := range map[string]func(*Attempts){
+			"lost": func(attempts *Attempts) {
+				attempts.Failed(now, failure(dragonflyhatch.KindUpstreamLost), nil, NewBudget())
+			},
+			"moved":   func(attempts *Attempts) { attempts.Moved() },
+			"resumed": func(*Attempts) {},
+		} {
+			for _, kind := range dragonflyhatch.Kinds() {
+				attempts := NewAttempts(deadline, name == "resumed")
+				before(attempts)
+				end := attempts.End(failure(kind))
+				convey.So(dragonflyhatch.KindOf(end).Answer().Ran, convey.ShouldEqual, dragonflyhatch.RanUnknown)
+			}
+		}
+	})
+	convey.Convey("Past the deadline there is no further attempt", t, func() {
+		end := NewAttempts(deadline, false).Failed(deadline, failure(dragonflyhatch.KindUpstreamRefused), nil, NewBudget())
+		convey.So(dragonflyhatch.KindOf(end), convey.ShouldEqual, dragonflyhatch.KindDeadlineNotRun)
+	})
+	convey.Convey("Later daemons number their attempts higher", t, func() {
+		convey.So(NextAttempt(5, now), convey.ShouldEqual, now.UnixMilli())
+		convey.So(NextAttempt(int(now.UnixMilli()), now), convey.ShouldEqual, now.UnixMilli()+1)
+	})
+}
+
+func TestBudgetCannotAmplifyAnOutage(t *testing.T) {
+	convey.Convey("Retries are at most a tenth of the requests, beyond a bounded burst", t, func() {
+		budget, retries := NewBudget(), 0
+		const requests = 10000
+		for range requests {
+			budget.Earn()
+			for budget.Spend() {
+				retries++
+			}
+		}
+		convey.So(retries, convey.ShouldBeLessThanOrEqualTo, requests/10+maxSaved/retryCost)
+	})
+}
--- a/hatchroute/snapshot.go
+++ b/hatchroute/snapshot.go
@@ -17,7 +17,6 @@
 type Replica struct {
 	Name    string
 	Address string
-	Site    string
 	Slots   int
 	Local   bool // in the daemon's own site
 	Track   *Track
@@ -100,7 +99,7 @@
 			continue
 		}
 		replica := &Replica{
-			Name: name, Address: engine.Address, Site: engine.Site, Slots: engine.Slots,
+			Name: name, Address: engine.Address, Slots: engine.Slots,
 			Local: engine.Site == configuration.Site, Track: tracks.Of(engine.Address),
 		}
 		groups.add(engine, replica)
--- a/hatchroute/track.go
+++ b/hatchroute/track.go
@@ -21,15 +21,13 @@
 // Track is what this daemon knows of one replica by its own calls and by the
 // replica's load reports. All methods may be called by several goroutines.
 type Track struct {
-	inFlight   atomic.Int64
-	others     atomic.Int64 // streams of other daemons, by the last report
-	queued     atomic.Int64 // by the last report
-	interval   atomic.Int64 // average nanoseconds between tokens
-	firstToken atomic.Int64 // average nanoseconds to the first token
-	failures   atomic.Int64 // in a row
-	pauses     atomic.Int64 // in a row
-	openUntil  atomic.Int64 // unix nanoseconds; left alone until then
-	rampFrom   atomic.Int64 // unix nanoseconds; slow start since then
+	inFlight  atomic.Int64
+	others    atomic.Int64 // streams of other daemons, by the last report
+	interval  atomic.Int64 // average nanoseconds between tokens
+	failures  atomic.Int64 // in a row
+	pauses    atomic.Int64 // in a row
+	openUntil atomic.Int64 // unix nanoseconds; left alone until then
+	rampFrom  atomic.Int64 // unix nanoseconds; slow start since then
 }
 
 // Begin notes that a request has been sent to the replica.
@@ -51,7 +49,6 @@
 // itself, so only the rest of the report is kept.
 func (track *Track) Report(report dragonflyhatch.LoadReport) {
 	track.others.Store(max(0, int64(report.Streams+report.QueuedTokens)-track.inFlight.Load()))
-	track.queued.Store(int64(report.QueuedTokens))
 	if report.TokenInterval > 0 {
 		track.interval.CompareAndSwap(0, int64(report.TokenInterval))
 	}
@@ -62,11 +59,6 @@
 	average(&track.interval, int64(interval))
 }
 
-// FirstToken takes the measured time to a first token.
-func (track *Track) FirstToken(elapsed time.Duration) {
-	average(&track.firstToken, int64(elapsed))
-}
-
 // average moves value towards the sample. A lost update among concurrent ones
 // is of no matter.
 func average(value *atomic.Int64, sample int64) {
--- a/hatchserve/claims.go
+++ b/hatchserve/claims.go
@@ -41,8 +41,8 @@
 	return claims
 }
 
-// run submits the request and waits for its answer, also past the end of ctx
-// by as little as the shard needs to say what is known.
+// run submits the request and waits for its answer, which comes by the
+// request's deadline.
 func (claims *claims) run(request dragonflyhatch.ServiceRequest) (dragonflyhatch.ServiceReply, error) {
 	now := time.Now()
 	keyTime, err := hatchclaim.ParseKey(request.Key, now)
@@ -97,7 +97,6 @@
 	machine *hatchclaim.Shard
 	waiting map[uint64]*pendingOrder
 	last    uint64 // name of the last waiter
-	version uint64
 	timer   *time.Timer
 }
 
--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -102,6 +102,7 @@
 			return completion.gone
 		}
 		if errors.Is(err, errMoved) {
+			completion.attempts.Moved()
 			continue
 		}
 		failure := dragonflyhatch.FailureOf(err)
@@ -319,10 +320,8 @@
 	now := time.Now()
 	elapsed := now.Sub(meter.last)
 	meter.last = now
-	if !meter.begun {
-		meter.begun = true
-		meter.head.FirstToken(elapsed)
-		return
+	if meter.begun {
+		meter.head.Interval(elapsed)
 	}
-	meter.head.Interval(elapsed)
+	meter.begun = true
 }
