--- a/hatchproof/faults_test.go
+++ b/hatchproof/faults_test.go
@@ -1,6 +1,8 @@
 package hatchproof
 
 import (
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -140,3 +142,31 @@
 		t.Errorf("%d of %d were served, with %d reconnects", report.Outcomes["served"], report.Sent, report.Reconnects)
 	}
 }
+
+// TestStopBoundIsLogged stops a host whose answers take longer than its stop
+// bound: each request that this cuts is named in the log, and the exit code
+// tells.
+func TestStopBoundIsLogged(t *testing.T) {
+	spec := smallFleet(2, 1)
+	spec.intervals = []time.Duration{300 * time.Millisecond}
+	spec.stopBound = 700 * time.Millisecond
+	fleet := startSpec(t, spec)
+	stopped := fleet.hosts[0]
+	report := fleet.load(hatchload.Shape{Seed: 9, Duration: time.Second, Rate: 40}, func() {
+		time.Sleep(time.Second)
+		stopped.signal(syscall.SIGTERM)
+		if err := <-stopped.ended; err == nil {
+			t.Error("a stop that cut requests ended as if it had not")
+		}
+	})
+	if faults := report.Faults(); faults > 0 {
+		t.Errorf("%d promises were broken", faults)
+	}
+	text, err := os.ReadFile(stopped.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cut := strings.Count(string(text), "stop cut a request"); cut == 0 {
+		t.Error("the log names no request that was cut")
+	}
+}
--- a/hatchproof/fleet_test.go
+++ b/hatchproof/fleet_test.go
@@ -67,13 +67,14 @@
 	organisations int
 	deadline      string
 	policy        hatchconfig.Policy
+	stopBound     time.Duration
 }
 
 // smallFleet is what most proofs run on.
 func smallFleet(hosts, pipelines int) fleetSpec {
 	return fleetSpec{
 		hosts: hosts, pipelines: pipelines, intervals: []time.Duration{5 * time.Millisecond}, slots: 64,
-		organisations: 1, deadline: "8s",
+		organisations: 1, deadline: "8s", stopBound: 20 * time.Second,
 	}
 }
 
@@ -241,13 +242,14 @@
 		settings.Peers = append(settings.Peers, other.settings.PeerAddress)
 	}
 	settings.Timing.EntriesKept = hatchconfig.Duration(500 * time.Millisecond)
-	settings.Timing.StopBound = hatchconfig.Duration(20 * time.Second)
+	settings.Timing.StopBound = hatchconfig.Duration(fleet.spec.stopBound)
 	return &host{settings: settings, file: fleet.write(settings.Host+".json", settings)}
 }
 
 func (fleet *fleet) startHost(host *host) {
 	fleet.t.Helper()
 	host.process, host.ended = fleet.start(host.settings.Host, "serve", host.file)
+	host.log = filepath.Join(fleet.directory, host.settings.Host+".log")
 }
 
 func (fleet *fleet) await(address, path string) {
--- a/hatchproof/measure_test.go
+++ b/hatchproof/measure_test.go
@@ -16,7 +16,7 @@
 // with 10 organisations of which a few are large.
 func measuredFleet(policy hatchconfig.Policy) fleetSpec {
 	return fleetSpec{
-		hosts: 12, pipelines: 20, slots: 6, organisations: 10, deadline: "4s", policy: policy,
+		hosts: 12, pipelines: 20, slots: 6, organisations: 10, deadline: "4s", policy: policy, stopBound: 20 * time.Second,
 		intervals: []time.Duration{30 * time.Millisecond, 40 * time.Millisecond, 60 * time.Millisecond, 80 * time.Millisecond},
 	}
 }
