--- a/hatchlimit/learn.go
+++ b/hatchlimit/learn.go
@@ -49,11 +49,14 @@
 	floor.value += floorRise * (sample - floor.value)
 }
 
-// pace measures the tokens a second that this daemon gets from the engines.
+// pace measures the tokens a second that this daemon can get from the engines. A
+// slot of time in which requests did not wait throughout shows only what was
+// asked for, and does not count.
 type pace struct {
 	rate   float64
 	tokens float64
 	from   time.Time
+	idled  bool // nothing waited at some moment of the slot
 }
 
 func (pace *pace) add(now time.Time, tokens float64) {
@@ -72,12 +75,14 @@
 		return
 	}
 	rate := pace.tokens / elapsed.Seconds()
-	if pace.rate == 0 {
+	switch {
+	case pace.idled:
+	case pace.rate == 0:
 		pace.rate = rate
-	} else {
+	default:
 		pace.rate += paceSmoothing * (rate - pace.rate)
 	}
-	pace.tokens, pace.from = 0, now
+	pace.tokens, pace.from, pace.idled = 0, now, false
 }
 
 // quantile follows the value that most samples stay below.
--- a/hatchlimit/limiter.go
+++ b/hatchlimit/limiter.go
@@ -96,6 +96,7 @@
 
 // take returns the decisions of the event under way.
 func (limiter *Limiter) take() []Decision {
+	limiter.pace.idled = limiter.pace.idled || limiter.waiting == 0
 	decisions := limiter.decisions
 	limiter.decisions = nil
 	return decisions
--- a/hatchlimit/limiter_test.go
+++ b/hatchlimit/limiter_test.go
@@ -268,3 +268,29 @@
 		})
 	})
 }
+
+func TestBurstAfterQuietIsTaken(t *testing.T) {
+	convey.Convey("Given a limiter that has had little to do", t, func() {
+		limiter, now := NewLimiter(DefaultOptions()), time.Unix(0, 0)
+		ticket := func() *Ticket { return &Ticket{Organisation: "o", Tokens: 48, Deadline: now.Add(8 * time.Second)} }
+		for range 40 {
+			quiet := ticket()
+			convey.So(limiter.Arrive(now, quiet), convey.ShouldHaveLength, 1)
+			now = now.Add(10 * time.Millisecond)
+			limiter.FirstToken(now, quiet)
+			now = now.Add(240 * time.Millisecond)
+			limiter.Done(now, quiet, Result{AfterFirst: 120 * time.Millisecond, Tokens: 24, Whole: true})
+		}
+		convey.Convey("a burst of what its window holds several times over is not refused", func() {
+			refused := 0
+			for range 3 * int(limiter.Window()) {
+				for _, decision := range limiter.Arrive(now, ticket()) {
+					if decision.Failure != nil {
+						refused++
+					}
+				}
+			}
+			convey.So(refused, convey.ShouldEqual, 0)
+		})
+	})
+}
