--- a/hatchentry/guard.go
+++ b/hatchentry/guard.go
@@ -23,8 +23,7 @@
 	leaving  func() bool
 }
 
-// wrap names each request, refuses what is beyond the bounds, and turns a panic
-// into an answer.
+// wrap names each request and refuses what is beyond the bounds.
 func (guard *guard) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		writer.Header().Set(requestHeader, uuid.NewString())
@@ -114,7 +113,7 @@
 		refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindMethodNotAllowed, "%.20q", request.Method))
 	})
 	router.PanicHandler = func(writer http.ResponseWriter, _ *http.Request, reason any) {
-		if reason == http.ErrAbortHandler { //nolint:errorlint // a sentinel that net/http compares itself
+		if reason == http.ErrAbortHandler {
 			panic(reason)
 		}
 		refuse(writer, dragonflyhatch.Fail(dragonflyhatch.KindInternal, "%v", reason))
--- a/hatchload/caller.go
+++ b/hatchload/caller.go
@@ -44,7 +44,7 @@
 	}}}
 }
 
-// addresses returns the addresses to use, best first.
+// entries returns the addresses to use, best first.
 func (caller *caller) entries(ctx context.Context) ([]string, error) {
 	caller.mu.Lock()
 	defer caller.mu.Unlock()
@@ -177,15 +177,9 @@
 	return addresses[attempt%len(addresses)], nil
 }
 
+// pause waits before an attempt is repeated, longer each time.
 func pause(ctx context.Context, attempt int) bool {
-	timer := time.NewTimer(min(200*time.Millisecond, time.Duration(10<<attempt)*time.Millisecond))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait(ctx, min(200*time.Millisecond, time.Duration(10<<attempt)*time.Millisecond))
 }
 
 func (caller *caller) exchangeOnce(ctx context.Context, address string, request sent) answer {
--- a/hatchload/run.go
+++ b/hatchload/run.go
@@ -45,7 +45,7 @@
 	group := pool.New().WithMaxGoroutines(plan.MaxOpen)
 	begun := time.Now()
 	for i, item := range items {
-		if !sleepUntil(ctx, begun.Add(item.At)) {
+		if !wait(ctx, time.Until(begun.Add(item.At))) {
 			break
 		}
 		group.Go(func() {
@@ -61,8 +61,9 @@
 	return report, report.checkRuns(ctx, plan.RunsAt, tally.orders)
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
+// wait waits for the duration; it returns false once ctx is done.
+func wait(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/hatchupstream/watchdog.go
+++ b/hatchupstream/watchdog.go
@@ -19,7 +19,7 @@
 // has the whole bound.
 type watchdog struct {
 	engine *Engine
-	ctx    context.Context //nolint:containedctx // it lives as long as one call
+	ctx    context.Context // of the one call that is watched
 	stages []dragonflyhatch.Stage
 	cancel context.CancelCauseFunc
 	asks   *time.Timer
