--- a/hatchserve/configuration_test.go
+++ b/hatchserve/configuration_test.go
@@ -123,6 +123,9 @@
 			t.Fatalf("version %d went back to %d", operators.inForce[daemon], version)
 		}
 		operators.inForce[daemon] = version
+		if version > uint64(len(operators.accepted)) {
+			t.Fatalf("version %d is in force and was never accepted", version)
+		}
 		if version > 0 && daemon.AcceptedConfiguration().Base != operators.accepted[version-1].Base {
 			t.Fatalf("version %d in force is not the accepted one", version)
 		}
