--- a/hatchlimit/learn.go
+++ b/hatchlimit/learn.go
@@ -88,7 +88,7 @@
 // quantile follows the value that most samples stay below.
 type quantile struct {
 	value float64
-	count int
+	count int // of samples
 }
 
 // add moves the value so that quantileLevel of the samples are below it.
@@ -113,7 +113,6 @@
 	}
 	if result.Whole {
 		part := float64(result.Tokens) / float64(max(1, ticket.Tokens))
-		limiter.learnt++
 		limiter.length.add(part)
 		limiter.longest.add(part)
 	}
--- a/hatchlimit/limiter.go
+++ b/hatchlimit/limiter.go
@@ -65,7 +65,6 @@
 	perToken   smooth   // seconds
 	length     smooth   // tokens of an answer as part of those wanted
 	longest    quantile // of the same, what few answers exceed
-	learnt     int      // whole answers
 
 	decisions []Decision // of the event under way
 }
@@ -157,7 +156,7 @@
 		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindOverloaded, Detail: "too many requests wait"}
 	}
 	left := ticket.Deadline.Sub(now)
-	if limiter.learnt < minLearnt {
+	if limiter.longest.count < minLearnt {
 		return nil
 	}
 	if limiter.waiting == 0 && float64(limiter.inFlight) < limiter.window {
@@ -256,7 +255,7 @@
 // late says whether a request whose turn it is had better be refused: it could
 // not finish at all, or it likely could not and others wait for its place.
 func (limiter *Limiter) late(now time.Time, ticket *Ticket) bool {
-	if limiter.learnt < minLearnt {
+	if limiter.longest.count < minLearnt {
 		return false
 	}
 	needed := limiter.least(ticket)
