--- /dev/null
+++ b/cmd/dragonflyhatch/gateway.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"dragonflyhatch/hatchgateway"
+	"dragonflyhatch/platform"
+)
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "gateway",
+		Usage:     "run the daemon of a machine of the platform",
+		ArgsUsage: "[SETTINGS]",
+		Description: "SETTINGS is the platform's settings file; without it the variable\n" +
+			platform.SettingsVariable + " names it. SIGTERM starts a graceful stop.",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "debug", Usage: "log debug messages too"},
+		},
+		Action: runGateway,
+	}
+}
+
+func runGateway(ctx context.Context, command *cli.Command) error {
+	path := command.Args().First()
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return refusedError{err}
+	}
+	level := slog.LevelInfo
+	if command.Bool("debug") {
+		level = slog.LevelDebug
+	}
+	logger := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
+	stop, _, end := stopContexts(ctx)
+	defer end()
+	return hatchgateway.New(settings, hatchgateway.WithLogger(logger)).Run(stop)
+}
--- a/cmd/dragonflyhatch/main.go
+++ b/cmd/dragonflyhatch/main.go
@@ -63,6 +63,7 @@
 			"Exit codes: 0 done, 1 failed, 2 usage, 3 refused.",
 		Commands: []*cli.Command{
 			serveCommand(),
+			gatewayCommand(),
 			configCommand(),
 			drainCommand(),
 			statusCommand(),
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,33 @@
+package dragonflyhatch
+
+// Member is a daemon of a gateway as it describes itself.
+type Member struct {
+	Host          string `json:"host"`
+	Site          string `json:"site"`
+	Process       string `json:"process"` // name of this start of the daemon, used once
+	CallerAddress string `json:"callerAddress"`
+	PeerAddress   string `json:"peerAddress"`
+	Leaving       bool   `json:"leaving"`
+	Version       uint64 `json:"version"` // raised with each change, also from process to process
+}
+
+// Gossip is what the daemons of a gateway tell each other.
+type Gossip struct {
+	From            Member
+	Members         []Member // some that the sender knows
+	Suspects        []string // hosts that do not answer the sender
+	LostReplicas    []string // addresses that do not answer the sender
+	RoutingVersion  uint64
+	ReplicasVersion uint64
+	Leader          string // host that places layers, as far as the sender knows
+	Term            uint64 // of the leader
+}
+
+// SnapshotKind names what a daemon hands to another as a whole.
+type SnapshotKind int
+
+// The values of SnapshotKind.
+const (
+	SnapshotRouting  SnapshotKind = iota // routing
+	SnapshotReplicas                     // replicas
+)
--- /dev/null
+++ b/hatchforward/forwarder.go
@@ -0,0 +1,238 @@
+package hatchforward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchpath"
+	"dragonflyhatch/hatchretry"
+	"dragonflyhatch/hatchroute"
+)
+
+// Fleet is what the forwarder needs to know of the fleet around it.
+type Fleet interface {
+	// Table returns the routes in force, or nil before the first configuration.
+	Table() *hatchroute.Table
+	// View returns the replicas that may be given work.
+	View() *hatchpath.View
+	// Daemons returns how many daemons share the work, 1 at least.
+	Daemons() int
+	// Lost is called when a replica is found unreachable.
+	Lost(replica dragonflyhatch.Replica)
+}
+
+// Forwarder serves callers' requests.
+type Forwarder struct {
+	fleet   Fleet
+	dialect dragonflyhatch.Dialect
+	site    string
+	terms   hatchretry.SharedTerms
+	logger  *slog.Logger
+	meters  *meters
+	prober  *prober
+
+	mu      sync.Mutex
+	budgets map[string]*hatchretry.SharedBudget // by service
+}
+
+// Option changes a forwarder.
+type Option func(*Forwarder)
+
+// WithLogger sets the log of decisions.
+func WithLogger(logger *slog.Logger) Option {
+	return func(forwarder *Forwarder) { forwarder.logger = logger }
+}
+
+// WithSite sets the daemon's site, whose replicas are preferred.
+func WithSite(site string) Option {
+	return func(forwarder *Forwarder) { forwarder.site = site }
+}
+
+// WithRetryTerms sets the terms of the retry budget that the fleet shares.
+func WithRetryTerms(terms hatchretry.SharedTerms) Option {
+	return func(forwarder *Forwarder) { forwarder.terms = terms }
+}
+
+// New returns a forwarder.
+func New(fleet Fleet, dialect dragonflyhatch.Dialect, options ...Option) *Forwarder {
+	forwarder := &Forwarder{
+		fleet:   fleet,
+		dialect: dialect,
+		terms:   hatchretry.SharedTerms{Ratio: 0.1, Window: 10 * time.Second},
+		logger:  slog.Default(),
+		budgets: make(map[string]*hatchretry.SharedBudget),
+	}
+	for _, option := range options {
+		option(forwarder)
+	}
+	if forwarder.meters == nil {
+		forwarder.meters = newMeters(nil)
+	}
+	forwarder.prober = newProber(fleet)
+	return forwarder
+}
+
+// budget returns the budget of repeats at the service.
+func (forwarder *Forwarder) budget(service string) *hatchretry.SharedBudget {
+	forwarder.mu.Lock()
+	defer forwarder.mu.Unlock()
+	budget, ok := forwarder.budgets[service]
+	if !ok {
+		budget = hatchretry.NewSharedBudget(forwarder.terms)
+		forwarder.budgets[service] = budget
+	}
+	return budget
+}
+
+// call is one request of a caller on its way.
+type call struct {
+	forwarder *Forwarder
+	writer    http.ResponseWriter
+	request   *http.Request
+	facts     dragonflyhatch.CallFacts
+	begun     time.Time
+	deadline  time.Time // by which the caller gets an answer
+	route     *dragonflyhatch.Route
+	service   dragonflyhatch.UpstreamService
+	owner     *dragonflyhatch.Organisation // nil on a route that needs no key
+	body      []byte
+	attempts  *hatchretry.Attempts
+	logger    *slog.Logger
+	ctx       context.Context // done when the caller leaves or the deadline passes
+}
+
+// defaultTimeout bounds a request whose route states no timeout.
+const defaultTimeout = 30 * time.Second
+
+// ServeHTTP answers one request of a caller.
+func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	call := &call{
+		forwarder: forwarder,
+		writer:    writer,
+		request:   request,
+		facts:     forwarder.dialect.Call(request.Header),
+		begun:     time.Now(),
+	}
+	call.logger = forwarder.logger.With("request", call.facts.ID)
+	if err := call.admit(); err != nil {
+		call.refuse(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), call.deadline)
+	defer cancel()
+	call.ctx = ctx
+	forwarder.budget(call.service.Name).Earn(call.begun)
+	if call.route.Class == dragonflyhatch.RouteStreaming || call.service.Model != nil {
+		call.serveStream()
+		return
+	}
+	call.servePlain()
+}
+
+// admit finds the request's route and organisation and reads its body.
+func (call *call) admit() error {
+	table := call.forwarder.fleet.Table()
+	if table == nil {
+		return dragonflyhatch.Fail(dragonflyhatch.KindNotReady, "no configuration yet")
+	}
+	path, _, _ := strings.Cut(call.request.RequestURI, "?")
+	call.route = table.Route(call.request.Host, path)
+	if call.route == nil {
+		return dragonflyhatch.Fail(dragonflyhatch.KindNotFound, "no route for %s%s in configuration %d", call.request.Host, path, table.Version)
+	}
+	if table.NeedsKey(call.route) {
+		if call.owner = table.Organisation(call.facts.Key); call.owner == nil {
+			return dragonflyhatch.Fail(dragonflyhatch.KindUnauthorized, "unknown key in configuration %d", table.Version)
+		}
+	}
+	var ok bool
+	if call.service, ok = table.Service(call.route, rand.Float64()); !ok {
+		return dragonflyhatch.Fail(dragonflyhatch.KindUpstreamUnavailable, "route %s names no service", call.route.Name)
+	}
+	call.setDeadline()
+	return call.readBody(table.Limits.BodyBytes)
+}
+
+func (call *call) setDeadline() {
+	timeout := call.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if call.facts.TimeLeft > 0 {
+		timeout = min(timeout, call.facts.TimeLeft)
+	}
+	call.deadline = call.begun.Add(timeout)
+	runs := call.route.MaxReplicas
+	if !call.route.Repeatable() {
+		runs = 1
+	}
+	call.attempts = hatchretry.NewAttempts(call.deadline, false, hatchretry.WithMaxRuns(runs))
+}
+
+func (call *call) readBody(limit int64) error {
+	body := io.Reader(call.request.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(call.writer, call.request.Body, limit)
+	}
+	var err error
+	if call.body, err = io.ReadAll(body); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return dragonflyhatch.Fail(dragonflyhatch.KindRequestTooLarge, "the body is over %d bytes", limit)
+		}
+		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindBadRequest, Detail: "the body cannot be read: " + err.Error(), Cause: err}
+	}
+	return nil
+}
+
+// Spend takes one repeat from the budget of the call's service.
+func (call *call) Spend() bool {
+	forwarder := call.forwarder
+	ok := forwarder.budget(call.service.Name).Spend(time.Now(), forwarder.fleet.Daemons())
+	if !ok {
+		forwarder.meters.budgetSpent.Inc(1)
+		call.logger.Warn("no retry", "reason", "budget spent", "service", call.service.Name)
+	}
+	return ok
+}
+
+// query describes the call to a choice of replicas.
+func (call *call) query() hatchpath.Query {
+	return hatchpath.Query{
+		Service: call.service.Name,
+		Site:    call.forwarder.site,
+		Tokens:  call.facts.PromptTokens + call.facts.OutputTokens,
+		Exclude: call.attempts.Excluded(),
+		Daemons: call.forwarder.fleet.Daemons(),
+	}
+}
+
+// callerLeft says whether the caller has closed its connection.
+func (call *call) callerLeft() bool {
+	return call.request.Context().Err() != nil
+}
+
+// outgoing returns the request as the replica is to get it.
+func (call *call) outgoing(address string, attempt dragonflyhatch.Attempt) outgoing {
+	attempt.TimeLeft = time.Until(call.deadline)
+	if call.owner != nil {
+		attempt.Organisation = call.owner.Name
+	}
+	return outgoing{
+		address: address,
+		method:  call.request.Method,
+		target:  call.request.RequestURI,
+		host:    call.request.Host,
+		header:  call.forwarder.dialect.Forward(call.request.Header, attempt),
+		body:    call.body,
+	}
+}
--- /dev/null
+++ b/hatchgateway/follow.go
@@ -0,0 +1,237 @@
+package hatchgateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchpath"
+	"dragonflyhatch/hatchroute"
+	"dragonflyhatch/platform"
+)
+
+const (
+	// watchWait is how long the store holds a watch without changes; each watch
+	// is a call that is paid for.
+	watchWait = 25 * time.Second
+	// watchPause is the pause between two watches, in which changes gather: far
+	// below the bounds on drains and configurations.
+	watchPause = 50 * time.Millisecond
+	// retryPause and maxRetryPause bound the pauses between calls that fail.
+	retryPause    = 150 * time.Millisecond
+	maxRetryPause = time.Second
+)
+
+// follower takes what the store holds of one kind.
+type follower interface {
+	kind() string
+	// listed takes all objects of the kind; away says that the store was not to
+	// be reached before.
+	listed(objects []dragonflyhatch.Object, away bool)
+	// changed takes changes since.
+	changed(changes []dragonflyhatch.Change)
+}
+
+// follow keeps the follower informed until ctx is done: by a listing, then by
+// watches, and by a listing again when a watch failed or its history was gone.
+func (gateway *Gateway) follow(ctx context.Context, follower follower) {
+	prefix := follower.kind() + "/"
+	pause, away := retryPause, false
+	for ctx.Err() == nil {
+		objects, version, err := gateway.store.List(ctx, prefix)
+		if err == nil {
+			follower.listed(objects, away)
+			if away {
+				gateway.logger.Info("store regained", "kind", follower.kind(), "version", version)
+			}
+			pause, away = retryPause, false
+			err = gateway.watch(ctx, follower, prefix, version)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, dragonflyhatch.ErrHistoryGone) {
+			gateway.logger.Info("store forgot its history", "kind", follower.kind())
+			continue
+		}
+		if !away {
+			gateway.logger.Warn("store lost", "kind", follower.kind(), "error", err)
+		}
+		away = true
+		gateway.pause(ctx, pause)
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+// watch passes changes on until a watch fails.
+func (gateway *Gateway) watch(ctx context.Context, follower follower, prefix string, version uint64) error {
+	for {
+		changes, next, err := gateway.store.Watch(ctx, prefix, version, watchWait)
+		if err != nil {
+			return err
+		}
+		version = next
+		if len(changes) > 0 {
+			follower.changed(changes)
+			gateway.pause(ctx, watchPause)
+		}
+	}
+}
+
+// pause waits for about the duration, so that daemons that were disturbed
+// together do not go on acting together.
+func (gateway *Gateway) pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration/2 + time.Duration(gateway.random.Int64N(int64(duration))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// routingFollower takes the operator's configuration.
+type routingFollower struct{ *Gateway }
+
+func (routingFollower) kind() string { return platform.RoutingKind }
+
+func (follower routingFollower) listed(objects []dragonflyhatch.Object, _ bool) {
+	for _, object := range objects {
+		follower.take(object)
+	}
+}
+
+func (follower routingFollower) changed(changes []dragonflyhatch.Change) {
+	for _, change := range changes {
+		if !change.Deleted {
+			follower.take(change.Object)
+		}
+	}
+}
+
+func (follower routingFollower) take(object dragonflyhatch.Object) {
+	if object.Name == platform.RoutingName {
+		follower.adoptRouting(object.Value, "store")
+	}
+}
+
+// adoptRouting puts a configuration in force, unless it is not newer than the
+// one that is: a daemon never goes back.
+func (gateway *Gateway) adoptRouting(value []byte, source string) {
+	routing, err := platform.DecodeRouting(value)
+	if err != nil {
+		gateway.logger.Error("configuration not read", "source", source, "error", err)
+		return
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if routing.Version <= gateway.routing.version {
+		return
+	}
+	first := gateway.routing.version == 0
+	gateway.logger.Info("configuration in force", "version", routing.Version, "before", gateway.routing.version,
+		"routes", len(routing.Routes), "organisations", len(routing.Organisations), "source", source)
+	gateway.routing = snapshot{routing.Version, value}
+	gateway.table.Store(hatchroute.NewTable(routing))
+	gateway.rebuild()
+	if first {
+		close(gateway.hasTable)
+	}
+}
+
+// rebuild replaces the view; the mutex must be held.
+func (gateway *Gateway) rebuild() {
+	var services map[string]dragonflyhatch.UpstreamService
+	if table := gateway.table.Load(); table != nil {
+		services = table.Services
+	}
+	list := gateway.replicas.list()
+	gateway.view.Store(hatchpath.NewView(list, services, gateway.healths))
+	gateway.healths.Keep(list)
+}
+
+// replicaFollower takes the registrations of replicas.
+type replicaFollower struct{ *Gateway }
+
+func (replicaFollower) kind() string { return platform.ReplicaKind }
+
+func (follower replicaFollower) listed(objects []dragonflyhatch.Object, away bool) {
+	var list []dragonflyhatch.Replica
+	for _, object := range objects {
+		replica, err := platform.DecodeReplica(object)
+		if err != nil {
+			follower.logger.Warn("registration not read", "object", object.Name, "error", err)
+			continue
+		}
+		list = append(list, replica)
+	}
+	now := time.Now()
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if away {
+		follower.replicas.returned(now)
+	}
+	follower.replicas.replace(list, now)
+	follower.rebuild()
+}
+
+func (follower replicaFollower) changed(changes []dragonflyhatch.Change) {
+	now := time.Now()
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	for _, change := range changes {
+		follower.change(change, now)
+	}
+	follower.replicas.expire(now)
+	follower.rebuild()
+}
+
+func (follower replicaFollower) change(change dragonflyhatch.Change, now time.Time) {
+	object := change.Object
+	id := object.Name[len(platform.ReplicaKind)+1:]
+	if change.Deleted {
+		follower.logger.Info("replica gone", "replica", id, "revision", object.Version)
+		follower.replicas.remove(id, object.Version, now)
+		return
+	}
+	replica, err := platform.DecodeReplica(object)
+	if err != nil {
+		// An entry that cannot be read names no replica to use.
+		follower.logger.Warn("registration not read", "object", object.Name, "error", err)
+		follower.replicas.remove(id, object.Version, now)
+		return
+	}
+	follower.logger.Info("replica registered", "replica", id, "service", replica.Service, "address", replica.Address,
+		"leaving", replica.Leaving, "first", replica.Held.First, "end", replica.Held.End, "revision", replica.Revision)
+	follower.replicas.put(replica)
+}
+
+// encodeReplicas returns the replicas as JSON for a peer; the mutex must be
+// held.
+func (gateway *Gateway) encodeReplicas() []byte {
+	text, err := json.Marshal(gateway.replicas.list())
+	if err != nil { // plain structs always encode
+		gateway.logger.Error("replicas not encoded", "error", err)
+	}
+	return text
+}
+
+// adoptReplicas takes the replicas that a peer knows.
+func (gateway *Gateway) adoptReplicas(version uint64, value []byte, source string) {
+	var list []dragonflyhatch.Replica
+	if err := json.Unmarshal(value, &list); err != nil {
+		gateway.logger.Error("replicas not read", "source", source, "error", err)
+		return
+	}
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if version <= gateway.replicas.version {
+		return
+	}
+	gateway.logger.Info("replicas learnt", "source", source, "version", version, "before", gateway.replicas.version)
+	gateway.replicas.replace(list, time.Now())
+	gateway.replicas.version = version
+	gateway.rebuild()
+}
--- /dev/null
+++ b/hatchgateway/gateway.go
@@ -0,0 +1,136 @@
+package hatchgateway
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchforward"
+	"dragonflyhatch/hatchmember"
+	"dragonflyhatch/hatchpath"
+	"dragonflyhatch/hatchpeer"
+	"dragonflyhatch/hatchretry"
+	"dragonflyhatch/hatchroute"
+	"dragonflyhatch/platform"
+)
+
+// Gateway is one daemon on the platform.
+type Gateway struct {
+	settings *platform.Settings
+	logger   *slog.Logger
+	registry metrics.Registry
+	random   *rand.Rand
+
+	store   dragonflyhatch.Platform
+	engines dragonflyhatch.EngineControl
+	peers   *hatchpeer.FleetClient
+
+	forwarder *hatchforward.Forwarder
+	healths   *hatchpath.Healths
+	table     atomic.Pointer[hatchroute.Table]
+	view      atomic.Pointer[hatchpath.View]
+	daemons   atomic.Int32
+	stopping  atomic.Bool
+	hasTable  chan struct{} // closed once there is a table
+
+	mu       sync.Mutex // guards what follows
+	roster   *hatchmember.Roster
+	routing  snapshot
+	replicas replicaSet
+	lost     map[string]time.Time // addresses found unreachable, by when
+	leader   leadership
+}
+
+// snapshot is a value as it was read, with its version.
+type snapshot struct {
+	version uint64
+	value   []byte
+}
+
+// Option changes a gateway.
+type Option func(*Gateway)
+
+// WithLogger sets the gateway's log.
+func WithLogger(logger *slog.Logger) Option {
+	return func(gateway *Gateway) { gateway.logger = logger }
+}
+
+// sharedRandom draws from the process's generator, which may be used by several
+// goroutines.
+type sharedRandom struct{}
+
+// Uint64 returns a random number.
+func (sharedRandom) Uint64() uint64 { return rand.Uint64() }
+
+// New returns a gateway that has not started.
+func New(settings *platform.Settings, options ...Option) *Gateway {
+	registry := metrics.NewRegistry()
+	gateway := &Gateway{
+		settings: settings,
+		logger:   slog.Default(),
+		registry: registry,
+		random:   rand.New(sharedRandom{}),
+		store:    platform.NewStore(settings.StoreAddress, platform.WithMetrics(registry)),
+		engines:  platform.NewEngines(),
+		peers:    hatchpeer.NewFleetClient(gossipTimeout),
+		healths:  hatchpath.NewHealths(),
+		hasTable: make(chan struct{}),
+		replicas: newReplicaSet(),
+		lost:     make(map[string]time.Time),
+	}
+	for _, option := range options {
+		option(gateway)
+	}
+	now := time.Now()
+	gateway.roster = hatchmember.NewRoster(dragonflyhatch.Member{
+		Host:          settings.Host,
+		Site:          settings.Site,
+		Process:       uuid.NewString(),
+		CallerAddress: settings.CallerAddress,
+		PeerAddress:   settings.PeerAddress,
+		Version:       uint64(now.UnixMilli()),
+	})
+	gateway.daemons.Store(1)
+	gateway.view.Store(hatchpath.NewView(nil, nil, gateway.healths))
+	bounds := settings.Bounds
+	gateway.forwarder = hatchforward.New(gateway, platform.Dialect{},
+		hatchforward.WithLogger(gateway.logger),
+		hatchforward.WithSite(settings.Site),
+		hatchforward.WithMetrics(registry),
+		hatchforward.WithRetryTerms(hatchretry.SharedTerms{
+			Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow,
+		}))
+	return gateway
+}
+
+// Table returns the routes in force, or nil before the first configuration.
+func (gateway *Gateway) Table() *hatchroute.Table {
+	return gateway.table.Load()
+}
+
+// View returns the replicas that may be given work.
+func (gateway *Gateway) View() *hatchpath.View {
+	return gateway.view.Load()
+}
+
+// Daemons returns how many daemons share the work, 1 at least.
+func (gateway *Gateway) Daemons() int {
+	return max(int(gateway.daemons.Load()), 1)
+}
+
+// lostTold is how long peers are told of an unreachable replica.
+const lostTold = 2 * time.Second
+
+// Lost notes that a replica was found unreachable, to warn the peers.
+func (gateway *Gateway) Lost(replica dragonflyhatch.Replica) {
+	gateway.logger.Warn("replica unreachable", "replica", replica.ID, "address", replica.Address, "service", replica.Service)
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.lost[replica.Address] = time.Now()
+}
--- /dev/null
+++ b/hatchgateway/gossip.go
@@ -0,0 +1,204 @@
+package hatchgateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"dragonflyhatch"
+)
+
+const (
+	// gossipInterval is the pause between two exchanges of a daemon: a dead
+	// daemon is met by some other within about this time.
+	gossipInterval = 400 * time.Millisecond
+	// gossipTimeout bounds one exchange, which takes some milliseconds.
+	gossipTimeout = 300 * time.Millisecond
+	// behindTime is how long a peer may know newer replicas before they are
+	// fetched from it: usually the store tells all at once.
+	behindTime = 250 * time.Millisecond
+)
+
+// gossip exchanges what is known with a random peer now and then until ctx is
+// done.
+func (gateway *Gateway) gossip(ctx context.Context) {
+	gateway.join(ctx)
+	for ctx.Err() == nil {
+		gateway.pause(ctx, gossipInterval)
+		gateway.mu.Lock()
+		gateway.roster.Forget(time.Now())
+		peers := gateway.roster.Peers(gateway.random)
+		gateway.mu.Unlock()
+		if len(peers) == 0 {
+			gateway.join(ctx)
+			continue
+		}
+		gateway.gossipWith(ctx, peers[0])
+	}
+}
+
+// join exchanges gossip with the seeds.
+func (gateway *Gateway) join(ctx context.Context) {
+	var group conc.WaitGroup
+	for _, address := range gateway.settings.Seeds {
+		if address == gateway.settings.PeerAddress {
+			continue
+		}
+		group.Go(func() {
+			if err := gateway.exchange(ctx, address); err != nil {
+				gateway.logger.Debug("seed not reached", "address", address, "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// gossipWith exchanges gossip with a member. One that does not answer is called
+// once more at once, and is then suspect.
+func (gateway *Gateway) gossipWith(ctx context.Context, member dragonflyhatch.Member) {
+	for range 2 {
+		err := gateway.exchange(ctx, member.PeerAddress)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		gateway.mu.Lock()
+		suspect := gateway.roster.Failed(member.Host, time.Now())
+		gateway.countDaemons()
+		gateway.mu.Unlock()
+		if suspect {
+			gateway.logger.Warn("daemon does not answer", "host", member.Host, "address", member.PeerAddress, "error", err)
+			gateway.warnPeers(ctx)
+		}
+	}
+}
+
+// warned is the number of peers that are told at once of a suspect daemon.
+const warned = 3
+
+func (gateway *Gateway) warnPeers(ctx context.Context) {
+	gateway.mu.Lock()
+	peers := gateway.roster.Peers(gateway.random)
+	gateway.mu.Unlock()
+	for _, peer := range peers[:min(len(peers), warned)] {
+		go func() { _ = gateway.exchange(ctx, peer.PeerAddress) }() // the next exchange tells it again
+	}
+}
+
+// exchange sends the daemon's gossip to the address and takes the answer.
+func (gateway *Gateway) exchange(ctx context.Context, address string) error {
+	gateway.mu.Lock()
+	own := gateway.ownGossip()
+	gateway.mu.Unlock()
+	answer, err := gateway.peers.Gossip(ctx, address, own)
+	if err != nil {
+		return err
+	}
+	gateway.take(answer)
+	gateway.catchUp(ctx, answer)
+	return nil
+}
+
+// ownGossip returns what the daemon says; the mutex must be held.
+func (gateway *Gateway) ownGossip() dragonflyhatch.Gossip {
+	now := time.Now()
+	gossip := dragonflyhatch.Gossip{
+		From:            gateway.roster.Self(),
+		Members:         gateway.roster.Tell(gateway.random),
+		Suspects:        gateway.roster.Suspects(),
+		RoutingVersion:  gateway.routing.version,
+		ReplicasVersion: gateway.replicas.version,
+		Leader:          gateway.leader.host,
+		Term:            gateway.leader.term,
+	}
+	for address, since := range gateway.lost {
+		if now.Sub(since) > lostTold {
+			delete(gateway.lost, address)
+			continue
+		}
+		gossip.LostReplicas = append(gossip.LostReplicas, address)
+	}
+	return gossip
+}
+
+// ExchangeGossip takes what a peer says and returns the daemon's own.
+func (gateway *Gateway) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip {
+	gateway.take(gossip)
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return gateway.ownGossip()
+}
+
+// take merges what a peer says, and looks after what it warns of.
+func (gateway *Gateway) take(gossip dragonflyhatch.Gossip) {
+	now := time.Now()
+	gateway.mu.Lock()
+	for _, member := range append(gossip.Members, gossip.From) {
+		if gateway.roster.Heard(member) {
+			gateway.logger.Info("daemon heard of", "host", member.Host, "process", member.Process,
+				"leaving", member.Leaving, "version", member.Version)
+		}
+	}
+	if gateway.roster.Answered(gossip.From.Host, now) {
+		gateway.logger.Info("daemon answers again", "host", gossip.From.Host)
+	}
+	toCall := gateway.roster.Warned(gossip.Suspects, now)
+	gateway.heardLeader(gossip.Leader, gossip.Term)
+	gateway.countDaemons()
+	gateway.mu.Unlock()
+
+	for _, member := range toCall {
+		go gateway.gossipWith(context.Background(), member)
+	}
+	for _, address := range gossip.LostReplicas {
+		gateway.forwarder.Recheck(address)
+	}
+}
+
+// countDaemons notes how many daemons share the work; the mutex must be held.
+func (gateway *Gateway) countDaemons() {
+	gateway.daemons.Store(int32(gateway.roster.Size()))
+}
+
+// catchUp fetches from the peer what it knows and this daemon does not.
+func (gateway *Gateway) catchUp(ctx context.Context, peer dragonflyhatch.Gossip) {
+	if peer.RoutingVersion > gateway.versions().RoutingVersion {
+		_, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotRouting)
+		if err != nil {
+			gateway.logger.Warn("configuration not fetched", "host", peer.From.Host, "error", err)
+			return
+		}
+		gateway.adoptRouting(value, peer.From.Host)
+	}
+	if peer.ReplicasVersion <= gateway.versions().ReplicasVersion {
+		return
+	}
+	gateway.pause(ctx, behindTime)
+	if peer.ReplicasVersion <= gateway.versions().ReplicasVersion {
+		return
+	}
+	version, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotReplicas)
+	if err != nil {
+		gateway.logger.Warn("replicas not fetched", "host", peer.From.Host, "error", err)
+		return
+	}
+	gateway.adoptReplicas(version, value, peer.From.Host)
+}
+
+// versions returns the versions that the daemon knows.
+func (gateway *Gateway) versions() dragonflyhatch.Gossip {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return dragonflyhatch.Gossip{RoutingVersion: gateway.routing.version, ReplicasVersion: gateway.replicas.version}
+}
+
+// Snapshot returns the routing or the replicas that the daemon knows, as JSON,
+// and the version.
+func (gateway *Gateway) Snapshot(kind dragonflyhatch.SnapshotKind) (uint64, []byte) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if kind == dragonflyhatch.SnapshotReplicas {
+		return gateway.replicas.version, gateway.encodeReplicas()
+	}
+	return gateway.routing.version, gateway.routing.value
+}
--- /dev/null
+++ b/hatchpath/pipeline.go
@@ -0,0 +1,234 @@
+package hatchpath
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"dragonflyhatch"
+)
+
+// Query is what a choice needs to know of a request.
+type Query struct {
+	Service string
+	Site    string   // of this daemon
+	Tokens  int      // of prompt and answer
+	Exclude []string // addresses that have failed this request
+	Daemons int      // that send work to the same engines, 1 at least
+}
+
+// Pipeline is a choice: stages that cover the layers once and in order.
+type Pipeline struct {
+	Stages []dragonflyhatch.Stage
+	Nodes  []*Node // of the stages
+	Tokens int
+}
+
+// Begin notes at each engine that the request has been sent.
+func (pipeline *Pipeline) Begin() {
+	for _, node := range pipeline.Nodes {
+		node.Begin(pipeline.Tokens)
+	}
+}
+
+// End notes at each engine that the request is over.
+func (pipeline *Pipeline) End() {
+	for _, node := range pipeline.Nodes {
+		node.End(pipeline.Tokens)
+	}
+}
+
+const (
+	// crossingCost is that of a token's way to another site, in units of the
+	// time that the fastest engine takes for all layers.
+	crossingCost = 2
+	// stageCost is that of each further stage, in the same unit.
+	stageCost = 0.1
+	// remoteCost weighs a pipeline in another site than the daemon's.
+	remoteCost = 0.5
+	// fillWeight weighs the share of an engine's KV memory that is in use.
+	fillWeight = 2
+)
+
+// Pipeline returns a pipeline for the request, or a Failure of
+// KindUpstreamUnavailable. Engines that have just refused for want of room are
+// used only if there is no way round them.
+func (view *View) Pipeline(now time.Time, query Query) (*Pipeline, error) {
+	set := view.engines[query.Service]
+	if set == nil {
+		return nil, dragonflyhatch.Fail(dragonflyhatch.KindUpstreamUnavailable, "no engine of %s holds layers", query.Service)
+	}
+	for _, avoidFull := range []bool{true, false} {
+		usable := func(node *Node) bool {
+			return !node.Down(now) && !(avoidFull && node.IsFull(now)) && !slices.Contains(query.Exclude, node.Address)
+		}
+		if pipeline := set.choose(query, usable); pipeline != nil {
+			return pipeline, nil
+		}
+	}
+	return nil, dragonflyhatch.Fail(dragonflyhatch.KindUpstreamUnavailable, "no usable engines of %s cover all layers", query.Service)
+}
+
+func (set *engineSet) choose(query Query, usable func(*Node) bool) *Pipeline {
+	for _, version := range set.versions {
+		var best *cover
+		for _, site := range set.sites {
+			found := set.cover(set.bySite[site], version, query, usable)
+			if found == nil {
+				continue
+			}
+			if site != query.Site {
+				found.cost += remoteCost
+			}
+			if best == nil || found.cost < best.cost {
+				best = found
+			}
+		}
+		if best == nil {
+			best = set.cover(set.all, version, query, usable)
+		}
+		if best != nil {
+			return best.pipeline(query.Tokens)
+		}
+	}
+	return nil
+}
+
+// cover is a cheapest way from layer 0 to the last.
+type cover struct {
+	cost   float64
+	stages []coverStage
+}
+
+type coverStage struct {
+	node   *Node
+	layers dragonflyhatch.LayerRange
+}
+
+func (cover *cover) pipeline(tokens int) *Pipeline {
+	pipeline := &Pipeline{Tokens: tokens}
+	for _, stage := range cover.stages {
+		pipeline.Nodes = append(pipeline.Nodes, stage.node)
+		pipeline.Stages = append(pipeline.Stages, dragonflyhatch.Stage{
+			Upstream: stage.node.ID, Address: stage.node.Address, Layers: stage.layers,
+		})
+	}
+	return pipeline
+}
+
+// step is the cheapest way known to a layer boundary.
+type step struct {
+	cost float64
+	from int // boundary that the last stage begins at
+	node *Node
+}
+
+// cover finds the cheapest cover of the layers by the nodes, by dynamic
+// programming over layer boundaries. It returns nil if there is none.
+func (set *engineSet) cover(nodes []*Node, version int, query Query, usable func(*Node) bool) *cover {
+	layers := set.model.Layers
+	var spans []span
+	boundary := make([]bool, layers+1)
+	boundary[0], boundary[layers] = true, true
+	for _, node := range nodes {
+		if node.Held.Version != version || node.Held.First >= layers || !usable(node) {
+			continue
+		}
+		one := span{node: node, LayerRange: node.Held.LayerRange}
+		one.End = min(one.End, layers)
+		one.perLayer = set.layerCost(node, query)
+		spans = append(spans, one)
+		boundary[one.First], boundary[one.End] = true, true
+	}
+	steps := make([]step, layers+1)
+	for i := range steps {
+		steps[i].cost = math.Inf(1)
+	}
+	steps[0].cost = 0
+	for at := 0; at < layers; at++ {
+		if !boundary[at] || math.IsInf(steps[at].cost, 1) {
+			continue
+		}
+		for i := range spans {
+			set.extend(steps, boundary, at, &spans[i])
+		}
+	}
+	return traceCover(steps, layers)
+}
+
+// span is a range that a node could run, and what a layer of it costs.
+type span struct {
+	node *Node
+	dragonflyhatch.LayerRange
+	perLayer float64
+}
+
+// extend tries the span as the stage that begins at the boundary.
+func (set *engineSet) extend(steps []step, boundary []bool, at int, span *span) {
+	if at < span.First || at >= span.End || onWay(steps, at, span.node) {
+		return
+	}
+	base := steps[at].cost + stageCost
+	if before := steps[at].node; before != nil && before.Site != span.node.Site {
+		base += crossingCost
+	}
+	for end := at + 1; end <= span.End; end++ {
+		if !boundary[end] {
+			continue
+		}
+		if cost := base + float64(end-at)*span.perLayer; cost < steps[end].cost {
+			steps[end] = step{cost: cost, from: at, node: span.node}
+		}
+	}
+}
+
+// onWay says whether the cheapest way to the boundary uses the node.
+func onWay(steps []step, at int, node *Node) bool {
+	for at > 0 {
+		if steps[at].node == node {
+			return true
+		}
+		at = steps[at].from
+	}
+	return false
+}
+
+func traceCover(steps []step, layers int) *cover {
+	if math.IsInf(steps[layers].cost, 1) {
+		return nil
+	}
+	found := &cover{cost: steps[layers].cost}
+	for at := layers; at > 0; at = steps[at].from {
+		found.stages = append(found.stages, coverStage{
+			node: steps[at].node, layers: dragonflyhatch.LayerRange{First: steps[at].from, End: at},
+		})
+	}
+	slices.Reverse(found.stages)
+	return found
+}
+
+// layerCost is the cost of a layer at the node: its pace, raised as its KV
+// memory fills. The work of the other daemons is taken to be like this one's.
+func (set *engineSet) layerCost(node *Node, query Query) float64 {
+	pace := 1.0
+	accelerator, known := set.model.Accelerators[node.Accelerator]
+	if known && accelerator.Pace > 0 {
+		pace = accelerator.Pace
+	}
+	fill := 0.0
+	if room := KVRoom(set.model, accelerator, node.Held.LayerRange); room > 0 {
+		fill = float64(node.tokens.Load()) * float64(query.Daemons) / room
+	}
+	return pace / float64(set.model.Layers) * (1 + fillWeight*fill)
+}
+
+// KVRoom returns for how many tokens an engine of the accelerator that holds the
+// layers has KV memory, over all of these layers.
+func KVRoom(model *dragonflyhatch.EngineModel, accelerator dragonflyhatch.Accelerator, held dragonflyhatch.LayerRange) float64 {
+	count := held.End - held.First
+	if count == 0 || model.KVBytes <= 0 {
+		return 0
+	}
+	free := (accelerator.MemoryMB - float64(count)*model.LayerMB) * 1e6
+	return free / (model.KVBytes / float64(model.Layers) * float64(count))
+}
--- /dev/null
+++ b/hatchpath/view.go
@@ -0,0 +1,101 @@
+package hatchpath
+
+import (
+	"cmp"
+	"slices"
+
+	"dragonflyhatch"
+)
+
+// Node is a replica together with what this daemon has seen of it.
+type Node struct {
+	dragonflyhatch.Replica
+	*Health
+}
+
+// View is the replicas that may be given work; it never changes.
+type View struct {
+	replicas []dragonflyhatch.Replica // all, also those that are leaving
+	byName   map[string][]*Node       // of a service, not leaving
+	engines  map[string]*engineSet
+}
+
+// engineSet is the engines of one service that hold layers.
+type engineSet struct {
+	model    *dragonflyhatch.EngineModel
+	sites    []string
+	bySite   map[string][]*Node
+	all      []*Node
+	versions []int // of the weights, newest first
+}
+
+// NewView returns the view of the replicas. Services describes those that run a
+// model.
+func NewView(replicas []dragonflyhatch.Replica, services map[string]dragonflyhatch.UpstreamService, healths *Healths) *View {
+	view := &View{
+		replicas: slices.Clone(replicas),
+		byName:   make(map[string][]*Node),
+		engines:  make(map[string]*engineSet),
+	}
+	slices.SortFunc(view.replicas, func(a, b dragonflyhatch.Replica) int { return cmp.Compare(a.ID, b.ID) })
+	for _, replica := range view.replicas {
+		if replica.Leaving {
+			continue
+		}
+		node := &Node{Replica: replica, Health: healths.Of(replica)}
+		view.byName[replica.Service] = append(view.byName[replica.Service], node)
+	}
+	for name, nodes := range view.byName {
+		if model := services[name].Model; model != nil {
+			view.engines[name] = newEngineSet(model, nodes)
+		}
+	}
+	return view
+}
+
+func newEngineSet(model *dragonflyhatch.EngineModel, nodes []*Node) *engineSet {
+	set := &engineSet{model: model, bySite: make(map[string][]*Node)}
+	for _, node := range nodes {
+		if node.Held.End == 0 {
+			continue
+		}
+		if set.bySite[node.Site] == nil {
+			set.sites = append(set.sites, node.Site)
+		}
+		set.bySite[node.Site] = append(set.bySite[node.Site], node)
+		set.all = append(set.all, node)
+		if !slices.Contains(set.versions, node.Held.Version) {
+			set.versions = append(set.versions, node.Held.Version)
+		}
+	}
+	slices.Sort(set.sites)
+	slices.SortFunc(set.versions, func(a, b int) int { return cmp.Compare(b, a) })
+	return set
+}
+
+// Replicas returns all replicas by id, also those that are leaving.
+func (view *View) Replicas() []dragonflyhatch.Replica {
+	return view.replicas
+}
+
+// Node returns the node at the address among the engines of the service, or nil.
+func (view *View) Node(service, address string) *Node {
+	for _, node := range view.byName[service] {
+		if node.Address == address {
+			return node
+		}
+	}
+	return nil
+}
+
+// At returns the node at the address among all that may be given work, or nil.
+func (view *View) At(address string) *Node {
+	for _, nodes := range view.byName {
+		for _, node := range nodes {
+			if node.Address == address {
+				return node
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/hatchpeer/fleet.go
@@ -0,0 +1,142 @@
+package hatchpeer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyhatch"
+)
+
+// FleetDaemon is what a gateway's daemon answers its peers with.
+type FleetDaemon interface {
+	// ExchangeGossip takes what a peer says and returns the daemon's own.
+	ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip
+	// Snapshot returns the routing or the replicas that the daemon knows, as
+	// JSON, and the version; 0 if it knows none.
+	Snapshot(kind dragonflyhatch.SnapshotKind) (uint64, []byte)
+}
+
+// NewFleetHandler serves the gateways' peer protocol for the daemon.
+func NewFleetHandler(daemon FleetDaemon) http.Handler {
+	return NewFleetServer(&fleetHandler{daemon})
+}
+
+type fleetHandler struct {
+	daemon FleetDaemon
+}
+
+// Gossip exchanges facts with a peer.
+func (server *fleetHandler) Gossip(_ context.Context, message *GossipMessage) (*GossipMessage, error) {
+	return encodeGossip(server.daemon.ExchangeGossip(decodeGossip(message))), nil
+}
+
+// Snapshot hands what the daemon knows to a peer.
+func (server *fleetHandler) Snapshot(_ context.Context, request *SnapshotRequest) (*SnapshotReply, error) {
+	version, value := server.daemon.Snapshot(dragonflyhatch.SnapshotKind(request.GetKind()))
+	return &SnapshotReply{Version: version, Value: value}, nil
+}
+
+const (
+	// fleetDialTimeout bounds the opening of a connection to a peer.
+	fleetDialTimeout = 150 * time.Millisecond
+	// fleetIdleTime closes idle connections to peers before something between
+	// them loses track of them.
+	fleetIdleTime = 5 * time.Second
+)
+
+// FleetClient calls the daemons of a gateway.
+type FleetClient struct {
+	http *http.Client
+}
+
+// NewFleetClient returns a client whose calls last at most timeout.
+func NewFleetClient(timeout time.Duration) *FleetClient {
+	return &FleetClient{http: &http.Client{
+		Timeout: timeout,
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: fleetDialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     fleetIdleTime,
+		},
+	}}
+}
+
+// Gossip exchanges facts with the daemon at the address.
+func (client *FleetClient) Gossip(ctx context.Context, address string, gossip dragonflyhatch.Gossip) (dragonflyhatch.Gossip, error) {
+	answer, err := NewFleetProtobufClient("http://"+address, client.http).Gossip(ctx, encodeGossip(gossip))
+	if err != nil {
+		return dragonflyhatch.Gossip{}, errors.Wrapf(err, "peer %s", address)
+	}
+	return decodeGossip(answer), nil
+}
+
+// Snapshot returns what the daemon at the address knows, as JSON, and the
+// version.
+func (client *FleetClient) Snapshot(ctx context.Context, address string, kind dragonflyhatch.SnapshotKind) (uint64, []byte, error) {
+	request := &SnapshotRequest{Kind: SnapshotKind(kind)}
+	reply, err := NewFleetProtobufClient("http://"+address, client.http).Snapshot(ctx, request)
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "peer %s", address)
+	}
+	return reply.GetVersion(), reply.GetValue(), nil
+}
+
+func encodeGossip(gossip dragonflyhatch.Gossip) *GossipMessage {
+	message := &GossipMessage{
+		From:            encodeMember(gossip.From),
+		Suspects:        gossip.Suspects,
+		LostReplicas:    gossip.LostReplicas,
+		RoutingVersion:  gossip.RoutingVersion,
+		ReplicasVersion: gossip.ReplicasVersion,
+		Leader:          gossip.Leader,
+		Term:            gossip.Term,
+	}
+	for _, member := range gossip.Members {
+		message.Members = append(message.Members, encodeMember(member))
+	}
+	return message
+}
+
+func decodeGossip(message *GossipMessage) dragonflyhatch.Gossip {
+	gossip := dragonflyhatch.Gossip{
+		From:            decodeMember(message.GetFrom()),
+		Suspects:        message.GetSuspects(),
+		LostReplicas:    message.GetLostReplicas(),
+		RoutingVersion:  message.GetRoutingVersion(),
+		ReplicasVersion: message.GetReplicasVersion(),
+		Leader:          message.GetLeader(),
+		Term:            message.GetTerm(),
+	}
+	for _, member := range message.GetMembers() {
+		gossip.Members = append(gossip.Members, decodeMember(member))
+	}
+	return gossip
+}
+
+func encodeMember(member dragonflyhatch.Member) *Member {
+	return &Member{
+		Host:          member.Host,
+		Site:          member.Site,
+		Process:       member.Process,
+		CallerAddress: member.CallerAddress,
+		PeerAddress:   member.PeerAddress,
+		Leaving:       member.Leaving,
+		Version:       member.Version,
+	}
+}
+
+func decodeMember(member *Member) dragonflyhatch.Member {
+	return dragonflyhatch.Member{
+		Host:          member.GetHost(),
+		Site:          member.GetSite(),
+		Process:       member.GetProcess(),
+		CallerAddress: member.GetCallerAddress(),
+		PeerAddress:   member.GetPeerAddress(),
+		Leaving:       member.GetLeaving(),
+		Version:       member.GetVersion(),
+	}
+}
--- a/hatchpeer/peer.twirp.go
+++ b/hatchpeer/peer.twirp.go
@@ -1359,6 +1359,781 @@
 	return baseServicePath(s.pathPrefix, "dragonflyhatch.peer", "Peer")
 }
 
+// ===============
+// Fleet Interface
+// ===============
+
+// Fleet is how the daemons of a gateway know of each other and of what changes,
+// also while the platform's store is away.
+type Fleet interface {
+	Gossip(context.Context, *GossipMessage) (*GossipMessage, error)
+
+	Snapshot(context.Context, *SnapshotRequest) (*SnapshotReply, error)
+}
+
+// =====================
+// Fleet Protobuf Client
+// =====================
+
+type fleetProtobufClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewFleetProtobufClient creates a Protobuf client that implements the Fleet interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewFleetProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Fleet {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "dragonflyhatch.peer", "Fleet")
+	urls := [2]string{
+		serviceURL + "Gossip",
+		serviceURL + "Snapshot",
+	}
+
+	return &fleetProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *fleetProtobufClient) Gossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "dragonflyhatch.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	caller := c.callGossip
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GossipMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
+					}
+					return c.callGossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GossipMessage)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callGossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	out := new(GossipMessage)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetProtobufClient) Snapshot(ctx context.Context, in *SnapshotRequest) (*SnapshotReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "dragonflyhatch.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	caller := c.callSnapshot
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SnapshotRequest) (*SnapshotReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SnapshotRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+					}
+					return c.callSnapshot(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SnapshotReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetProtobufClient) callSnapshot(ctx context.Context, in *SnapshotRequest) (*SnapshotReply, error) {
+	out := new(SnapshotReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =================
+// Fleet JSON Client
+// =================
+
+type fleetJSONClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewFleetJSONClient creates a JSON client that implements the Fleet interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewFleetJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Fleet {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "dragonflyhatch.peer", "Fleet")
+	urls := [2]string{
+		serviceURL + "Gossip",
+		serviceURL + "Snapshot",
+	}
+
+	return &fleetJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *fleetJSONClient) Gossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "dragonflyhatch.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	caller := c.callGossip
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GossipMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
+					}
+					return c.callGossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GossipMessage)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callGossip(ctx context.Context, in *GossipMessage) (*GossipMessage, error) {
+	out := new(GossipMessage)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *fleetJSONClient) Snapshot(ctx context.Context, in *SnapshotRequest) (*SnapshotReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "dragonflyhatch.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	caller := c.callSnapshot
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SnapshotRequest) (*SnapshotReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SnapshotRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+					}
+					return c.callSnapshot(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SnapshotReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *fleetJSONClient) callSnapshot(ctx context.Context, in *SnapshotRequest) (*SnapshotReply, error) {
+	out := new(SnapshotReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Fleet Server Handler
+// ====================
+
+type fleetServer struct {
+	Fleet
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewFleetServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewFleetServer(svc Fleet, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &fleetServer{
+		Fleet:            svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *fleetServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *fleetServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// FleetPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const FleetPathPrefix = "/twirp/dragonflyhatch.peer.Fleet/"
+
+func (s *fleetServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "dragonflyhatch.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Fleet")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "dragonflyhatch.peer.Fleet" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Gossip":
+		s.serveGossip(ctx, resp, req)
+		return
+	case "Snapshot":
+		s.serveSnapshot(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *fleetServer) serveGossip(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGossipJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGossipProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveGossipJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GossipMessage)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.Gossip
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GossipMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
+					}
+					return s.Fleet.Gossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GossipMessage)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GossipMessage
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GossipMessage and nil error while calling Gossip. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveGossipProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Gossip")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GossipMessage)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.Gossip
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GossipMessage) (*GossipMessage, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GossipMessage)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GossipMessage) when calling interceptor")
+					}
+					return s.Fleet.Gossip(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GossipMessage)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GossipMessage) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GossipMessage
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GossipMessage and nil error while calling Gossip. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveSnapshot(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSnapshotJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSnapshotProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *fleetServer) serveSnapshotJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SnapshotRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Fleet.Snapshot
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SnapshotRequest) (*SnapshotReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SnapshotRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+					}
+					return s.Fleet.Snapshot(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SnapshotReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SnapshotReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SnapshotReply and nil error while calling Snapshot. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) serveSnapshotProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Snapshot")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SnapshotRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Fleet.Snapshot
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SnapshotRequest) (*SnapshotReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SnapshotRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SnapshotRequest) when calling interceptor")
+					}
+					return s.Fleet.Snapshot(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SnapshotReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SnapshotReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SnapshotReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SnapshotReply and nil error while calling Snapshot. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *fleetServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
+}
+
+func (s *fleetServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *fleetServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "dragonflyhatch.peer", "Fleet")
+}
+
 // =====
 // Utils
 // =====
@@ -1925,50 +2700,69 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 720 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x55, 0xdd, 0x6e, 0x13, 0x3b,
-	0x10, 0xd6, 0x36, 0xff, 0xd3, 0xb4, 0xa7, 0xc7, 0xed, 0x89, 0x56, 0xb9, 0x38, 0x4d, 0xf7, 0xa8,
-	0x87, 0x94, 0x8b, 0x20, 0xb5, 0x52, 0x25, 0xc4, 0x1d, 0x94, 0xaa, 0x52, 0x81, 0xc2, 0x22, 0x90,
-	0xe0, 0x26, 0x72, 0x76, 0xa7, 0x89, 0xd5, 0xad, 0xbd, 0xb5, 0xbd, 0x51, 0xf2, 0x08, 0xbc, 0x11,
-	0xef, 0x83, 0x84, 0x78, 0x0c, 0x64, 0xc7, 0x9b, 0x66, 0xd1, 0xb6, 0x54, 0xdc, 0x44, 0xf3, 0xcd,
-	0x8c, 0xed, 0x99, 0x6f, 0xbe, 0xc9, 0x02, 0xa4, 0x88, 0x72, 0x90, 0x4a, 0xa1, 0x05, 0xd9, 0x8e,
-	0x25, 0x1d, 0x0b, 0x7e, 0x99, 0xcc, 0x27, 0x54, 0x47, 0x93, 0x81, 0x09, 0x05, 0xc7, 0x00, 0x67,
-	0x48, 0x63, 0x94, 0xaf, 0x18, 0x47, 0x42, 0xa0, 0xca, 0xe9, 0x35, 0xfa, 0x5e, 0xcf, 0xeb, 0xb7,
-	0x42, 0x6b, 0x93, 0x1d, 0xa8, 0x4d, 0x69, 0x92, 0xa1, 0xbf, 0x66, 0x9d, 0x0b, 0x10, 0x7c, 0x59,
-	0x83, 0xf6, 0x85, 0x8c, 0x51, 0x86, 0x78, 0x93, 0xa1, 0xd2, 0x24, 0x80, 0xb6, 0x90, 0x63, 0xca,
-	0x99, 0xa2, 0x9a, 0x09, 0xee, 0xae, 0x28, 0xf8, 0x88, 0x0f, 0x0d, 0x85, 0x72, 0xca, 0xa2, 0xfc,
-	0xb2, 0x1c, 0x92, 0x0e, 0xd4, 0xaf, 0x51, 0x4f, 0x44, 0xec, 0x57, 0x6c, 0xc0, 0x21, 0x53, 0x50,
-	0x4a, 0xf5, 0xc4, 0xaf, 0x2e, 0x0a, 0x32, 0x36, 0x79, 0x0a, 0x8d, 0x89, 0x2d, 0x59, 0xf9, 0xb5,
-	0x5e, 0xa5, 0xbf, 0x7e, 0xb8, 0x3b, 0x28, 0xe9, 0x6c, 0x70, 0xdb, 0x56, 0x98, 0xe7, 0x9b, 0xeb,
-	0x46, 0x22, 0x9e, 0xfb, 0xf5, 0x9e, 0xd7, 0x6f, 0x87, 0xd6, 0x26, 0x5b, 0x50, 0xb9, 0xc2, 0xb9,
-	0xdf, 0xb0, 0x2f, 0x18, 0x93, 0x0c, 0x60, 0x3b, 0x46, 0x1a, 0x27, 0x8c, 0xe3, 0x30, 0xe3, 0x6c,
-	0x36, 0xe4, 0x94, 0x0b, 0xe5, 0x37, 0x7b, 0x5e, 0xbf, 0x12, 0xfe, 0x9d, 0x87, 0x3e, 0x70, 0x36,
-	0x7b, 0x63, 0x02, 0xc1, 0x0f, 0x0f, 0xc0, 0x71, 0x91, 0x26, 0x73, 0xb2, 0x07, 0xed, 0x4b, 0xca,
-	0x92, 0x4c, 0xe2, 0xf0, 0x8a, 0xf1, 0xd8, 0x31, 0xb1, 0xee, 0x7c, 0xe7, 0x8c, 0xc7, 0x64, 0x1f,
-	0x36, 0xf3, 0x94, 0x18, 0x35, 0x65, 0x89, 0xe3, 0x63, 0xc3, 0x79, 0x4f, 0xac, 0xd3, 0xb0, 0xa2,
-	0x34, 0xd5, 0x99, 0xb2, 0xac, 0xd4, 0x42, 0x87, 0x56, 0x19, 0xa8, 0xfe, 0x21, 0x03, 0xb5, 0x15,
-	0x06, 0x0e, 0x60, 0x4b, 0x62, 0x8a, 0x54, 0x63, 0x3c, 0x14, 0x99, 0x8e, 0xc4, 0x35, 0x5a, 0x86,
-	0x9a, 0xe1, 0x5f, 0xb9, 0xff, 0x62, 0xe1, 0x0e, 0x6e, 0xa0, 0x75, 0x22, 0x29, 0xe3, 0xa7, 0x34,
-	0xd2, 0x66, 0x9c, 0x34, 0x8e, 0x25, 0x2a, 0xe5, 0x7a, 0xcc, 0xa1, 0x89, 0x4c, 0x51, 0x2a, 0xa3,
-	0x03, 0xd3, 0x58, 0x35, 0xcc, 0xa1, 0x89, 0x24, 0x48, 0xa7, 0x8c, 0x8f, 0x6d, 0x4f, 0xcd, 0x30,
-	0x87, 0xb6, 0x59, 0x91, 0xc9, 0x08, 0xed, 0xb0, 0x4d, 0xb3, 0x16, 0x05, 0xdf, 0x3c, 0xd8, 0x3a,
-	0x43, 0x2a, 0xf5, 0x08, 0xa9, 0x7e, 0x8d, 0x4a, 0xd1, 0xb1, 0x15, 0xea, 0x44, 0x28, 0x9d, 0x0b,
-	0xd5, 0xd8, 0xe4, 0x08, 0xfe, 0x89, 0x04, 0xbf, 0x64, 0xe3, 0x4c, 0x5a, 0xb9, 0x0d, 0x8b, 0x25,
-	0xec, 0x14, 0x82, 0x1f, 0x7f, 0x5b, 0xcf, 0x31, 0xd4, 0x63, 0xd3, 0x6a, 0xce, 0xf1, 0xbf, 0xa5,
-	0x1c, 0x2f, 0xd9, 0x08, 0x5d, 0x36, 0xe9, 0x42, 0x53, 0x65, 0x2a, 0xc5, 0x48, 0x2f, 0xf4, 0xd9,
-	0x0a, 0x97, 0xd8, 0xbc, 0x96, 0x4a, 0x11, 0x19, 0xc6, 0xea, 0x0b, 0xc6, 0x1c, 0x0c, 0x3a, 0xb0,
-	0xf3, 0x62, 0xb5, 0x3e, 0xb7, 0x56, 0xc1, 0x19, 0xc0, 0x7b, 0xcb, 0xc3, 0x29, 0x4b, 0xca, 0xf7,
-	0x93, 0x40, 0x55, 0x31, 0x9d, 0x6f, 0x94, 0xb5, 0x8d, 0x4f, 0xe3, 0x4c, 0xbb, 0x65, 0xb2, 0x76,
-	0xf0, 0xd5, 0x03, 0xf2, 0xcb, 0x13, 0x46, 0xad, 0x2b, 0xa3, 0xf2, 0x8a, 0xa3, 0xea, 0x40, 0x9d,
-	0x66, 0x7a, 0x22, 0xa4, 0xbb, 0xda, 0x21, 0x72, 0x04, 0xd5, 0x11, 0x55, 0x68, 0x2f, 0xbf, 0x4b,
-	0x7a, 0xb7, 0x35, 0x87, 0x36, 0x99, 0x3c, 0x83, 0xa6, 0x98, 0xa2, 0x4c, 0xe8, 0xfc, 0x7e, 0xcd,
-	0xae, 0x1c, 0x5c, 0x1e, 0x08, 0x1e, 0xc3, 0xe6, 0xcb, 0x59, 0x9a, 0x50, 0x96, 0xd3, 0x62, 0xaa,
-	0x96, 0x0b, 0x33, 0x97, 0x9e, 0x83, 0xc1, 0xff, 0xd0, 0x5e, 0xe6, 0x9a, 0xfe, 0x3a, 0x50, 0x97,
-	0x18, 0x09, 0xb9, 0xd8, 0xc3, 0x76, 0xe8, 0xd0, 0xe1, 0xf7, 0x35, 0xa8, 0xbe, 0x45, 0x94, 0xe4,
-	0x1c, 0x6a, 0x76, 0x79, 0xc9, 0x5e, 0x69, 0x41, 0xab, 0x7f, 0x72, 0xdd, 0xdd, 0xfb, 0x52, 0xcc,
-	0x6b, 0x9f, 0xa0, 0xb5, 0xd4, 0x2a, 0xd9, 0xbf, 0x6b, 0x2b, 0x0b, 0x5a, 0xee, 0x3e, 0x2c, 0x8d,
-	0x44, 0xb0, 0x51, 0x18, 0x1f, 0x39, 0x28, 0x3d, 0x57, 0xa6, 0xa2, 0xee, 0xa3, 0x87, 0xa4, 0x9a,
-	0xfa, 0xdf, 0x41, 0xc3, 0xb1, 0x47, 0xfe, 0x2b, 0x3d, 0x53, 0x9c, 0x43, 0x77, 0xef, 0xfe, 0xa4,
-	0x34, 0x99, 0x3f, 0xef, 0x7e, 0xf6, 0x8b, 0x39, 0x4f, 0xec, 0xaf, 0x49, 0x1c, 0xd5, 0xed, 0x97,
-	0xe9, 0xe8, 0x67, 0x00, 0x00, 0x00, 0xff, 0xff, 0x17, 0x2e, 0xcd, 0x2f, 0xa7, 0x06, 0x00, 0x00,
+	// 1013 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x56, 0x5d, 0x6e, 0xdb, 0x46,
+	0x10, 0x2e, 0xf5, 0xaf, 0x31, 0x65, 0xbb, 0x1b, 0xd7, 0x10, 0x54, 0xa0, 0xb1, 0x99, 0xa6, 0xb1,
+	0xf3, 0xe0, 0x00, 0x36, 0x12, 0xa0, 0xe8, 0x43, 0x91, 0x26, 0x71, 0x1c, 0xe4, 0xc7, 0xee, 0x3a,
+	0x09, 0xd0, 0xbe, 0x08, 0x6b, 0x72, 0x2c, 0x11, 0xa1, 0xb8, 0xcc, 0xee, 0xd2, 0xb0, 0x8e, 0xd0,
+	0xd3, 0xf4, 0x35, 0x47, 0xe8, 0x3d, 0x0a, 0x14, 0x3d, 0x46, 0xb1, 0xcb, 0x5d, 0x99, 0x0c, 0x18,
+	0xd9, 0xe8, 0x8b, 0x30, 0xf3, 0xf1, 0x9b, 0xe5, 0xcc, 0x37, 0xb3, 0x23, 0x02, 0x64, 0x88, 0x62,
+	0x2f, 0x13, 0x5c, 0x71, 0x72, 0x2b, 0x12, 0x6c, 0xc2, 0xd3, 0xf3, 0x64, 0x3e, 0x65, 0x2a, 0x9c,
+	0xee, 0xe9, 0x47, 0xc1, 0x5f, 0x1e, 0x74, 0x5e, 0xe3, 0xec, 0x0c, 0x05, 0x21, 0xd0, 0x9a, 0x72,
+	0xa9, 0x86, 0xde, 0x96, 0xb7, 0xd3, 0xa7, 0xc6, 0xd6, 0x98, 0x8c, 0x15, 0x0e, 0x1b, 0x05, 0xa6,
+	0x6d, 0x32, 0x84, 0x6e, 0x26, 0x78, 0x88, 0x52, 0x0e, 0x9b, 0x06, 0x76, 0x2e, 0xb9, 0x0b, 0xab,
+	0x21, 0x4b, 0x12, 0x14, 0x63, 0x16, 0x45, 0x42, 0x13, 0x5a, 0x86, 0x30, 0x28, 0xd0, 0xc7, 0x05,
+	0x48, 0xb6, 0xc1, 0xd7, 0xef, 0x5e, 0x90, 0xda, 0x86, 0xb4, 0xa2, 0x31, 0x47, 0x19, 0x42, 0x37,
+	0x41, 0x76, 0x11, 0xa7, 0x93, 0x61, 0x67, 0xcb, 0xdb, 0xe9, 0x51, 0xe7, 0xea, 0x27, 0x17, 0x28,
+	0x64, 0xcc, 0xd3, 0x61, 0x77, 0xcb, 0xdb, 0x69, 0x51, 0xe7, 0x06, 0x9f, 0x1a, 0x30, 0x78, 0xce,
+	0xa5, 0x8c, 0xb3, 0xd7, 0x28, 0x25, 0x9b, 0x20, 0x79, 0x00, 0xad, 0x73, 0xc1, 0x67, 0xa6, 0xa2,
+	0x95, 0xfd, 0x6f, 0xf7, 0x6a, 0x04, 0xd8, 0x2b, 0x8a, 0xa7, 0x86, 0x48, 0x1e, 0x42, 0x77, 0x66,
+	0x7c, 0x39, 0x6c, 0x6c, 0x35, 0xaf, 0x8b, 0x71, 0x5c, 0x32, 0x82, 0x9e, 0xcc, 0x65, 0x86, 0xa1,
+	0xd2, 0x92, 0x34, 0x77, 0xfa, 0x74, 0xe1, 0x93, 0x3b, 0x30, 0x48, 0xb8, 0x54, 0x63, 0x81, 0x59,
+	0x12, 0x87, 0x4c, 0x4b, 0xa2, 0x09, 0xbe, 0x06, 0xa9, 0xc5, 0xc8, 0x3d, 0x58, 0x13, 0x3c, 0x57,
+	0x71, 0x3a, 0x19, 0xbb, 0xe2, 0xda, 0xa6, 0xb8, 0x55, 0x0b, 0xbf, 0x2f, 0x50, 0xb2, 0x0b, 0xeb,
+	0xee, 0xa0, 0x05, 0xb3, 0x63, 0x98, 0x6b, 0x0e, 0x77, 0xd4, 0x4d, 0xe8, 0x24, 0xc8, 0x22, 0x14,
+	0x46, 0xa7, 0x3e, 0xb5, 0x9e, 0x6e, 0xa9, 0x42, 0x31, 0x1b, 0xf6, 0x4c, 0x98, 0xb1, 0x83, 0x23,
+	0x58, 0x3b, 0x4d, 0x59, 0x26, 0xa7, 0x5c, 0x51, 0xfc, 0x98, 0xa3, 0x54, 0xe4, 0x21, 0xb4, 0x3e,
+	0xc4, 0x69, 0x64, 0xb4, 0x5b, 0xdd, 0xdf, 0xae, 0xd5, 0xc1, 0xc5, 0xbc, 0x8c, 0xd3, 0x88, 0x1a,
+	0x7a, 0xf0, 0x33, 0x0c, 0xae, 0x4e, 0xca, 0x92, 0x79, 0xb9, 0x5f, 0x5e, 0xa5, 0x5f, 0x64, 0x03,
+	0xda, 0x17, 0x2c, 0xc9, 0x8b, 0xe1, 0xf2, 0x69, 0xe1, 0x04, 0x8f, 0x00, 0x8e, 0x4c, 0xa2, 0xaf,
+	0xe2, 0x14, 0x75, 0xb2, 0x29, 0x9b, 0xa1, 0x9b, 0x49, 0x6d, 0x57, 0xe3, 0xfa, 0x2e, 0xee, 0x8f,
+	0x06, 0xf8, 0xc7, 0x22, 0x42, 0xe1, 0x0a, 0x08, 0xc0, 0xe7, 0x62, 0xc2, 0xd2, 0x58, 0x32, 0xe5,
+	0xde, 0xde, 0xa7, 0x15, 0x4c, 0x27, 0x27, 0x51, 0x5c, 0xc4, 0xa1, 0x3b, 0xcc, 0xb9, 0x5a, 0xbd,
+	0x19, 0xaa, 0x29, 0x8f, 0xec, 0x8c, 0x5b, 0x4f, 0x27, 0x94, 0x31, 0x35, 0xb5, 0x83, 0x6d, 0x6c,
+	0xf2, 0x23, 0x74, 0xa7, 0x26, 0x65, 0x3d, 0xca, 0x7a, 0x6a, 0x6e, 0xd7, 0xaa, 0x75, 0x55, 0x16,
+	0x75, 0x7c, 0x7d, 0xdc, 0x19, 0x8f, 0xe6, 0xa6, 0x87, 0x3e, 0x35, 0x36, 0x59, 0x87, 0xe6, 0x07,
+	0x9c, 0xdb, 0xae, 0x69, 0x93, 0xec, 0xc1, 0xad, 0x08, 0x59, 0x94, 0xc4, 0x29, 0x8e, 0xf3, 0x34,
+	0xbe, 0x1c, 0xa7, 0x2c, 0xe5, 0xd2, 0x74, 0xb0, 0x49, 0xbf, 0x76, 0x8f, 0xde, 0xa5, 0xf1, 0xe5,
+	0x1b, 0xfd, 0x20, 0xf8, 0xd7, 0x03, 0xb0, 0x5a, 0xe8, 0x16, 0x6c, 0x83, 0x7f, 0xce, 0xe2, 0x24,
+	0x17, 0x38, 0x5e, 0xb4, 0xb4, 0x4f, 0x57, 0x2c, 0xa6, 0x9b, 0xa7, 0x6f, 0xae, 0xa3, 0x44, 0xa8,
+	0x58, 0x9c, 0x58, 0x3d, 0x06, 0x16, 0x7d, 0x6a, 0x40, 0xad, 0x8a, 0x54, 0x4c, 0xe5, 0xc5, 0xcd,
+	0x6f, 0x53, 0xeb, 0x95, 0x15, 0x68, 0xfd, 0x4f, 0x05, 0xda, 0x25, 0x05, 0x8a, 0x29, 0x47, 0xa6,
+	0x30, 0x1a, 0xf3, 0x5c, 0x85, 0x7c, 0x86, 0x76, 0x0d, 0xac, 0x39, 0xfc, 0xb8, 0x80, 0x83, 0x8f,
+	0xd0, 0x7f, 0x2a, 0x58, 0x9c, 0x1e, 0xb2, 0x50, 0xe9, 0x76, 0xba, 0x9d, 0x52, 0xd4, 0xe8, 0xdc,
+	0xf2, 0x14, 0x36, 0xaa, 0x53, 0x58, 0xda, 0x34, 0xcd, 0xea, 0xa6, 0xd1, 0xc5, 0xf2, 0x5c, 0x84,
+	0x68, 0x9a, 0xad, 0x8b, 0x35, 0x5e, 0xf0, 0xb7, 0x07, 0xeb, 0x47, 0xc8, 0x84, 0x3a, 0x43, 0xa6,
+	0xdc, 0xaa, 0xa9, 0x5b, 0x9e, 0x07, 0xf0, 0x4d, 0xc8, 0xd3, 0xf3, 0x78, 0x92, 0x0b, 0x33, 0x6e,
+	0xe3, 0x6a, 0x0a, 0x1b, 0x95, 0x87, 0xef, 0xaf, 0xcd, 0xe7, 0x11, 0x74, 0x22, 0x5d, 0xaa, 0xd3,
+	0xf8, 0xbb, 0x5a, 0x8d, 0x17, 0x6a, 0x50, 0xcb, 0xae, 0x6c, 0xa7, 0xf6, 0x67, 0xdb, 0xa9, 0xb4,
+	0xcb, 0x3b, 0x95, 0x5d, 0x1e, 0x6c, 0xc2, 0xc6, 0x93, 0x72, 0x7e, 0xf6, 0x5a, 0x05, 0x47, 0x00,
+	0xa7, 0x46, 0x87, 0xc3, 0x38, 0xa9, 0xbf, 0x9f, 0x75, 0xff, 0x19, 0x66, 0xe9, 0x5c, 0x2a, 0x7b,
+	0x99, 0x8c, 0x1d, 0x7c, 0xf2, 0x80, 0x7c, 0xf6, 0x8a, 0xe5, 0x0b, 0x63, 0x13, 0x3a, 0x2c, 0x57,
+	0x53, 0x2e, 0xec, 0xd1, 0xd6, 0x23, 0x07, 0xd0, 0x3a, 0x63, 0x12, 0xcd, 0xe1, 0x5f, 0x1a, 0xbd,
+	0xab, 0x9c, 0xa9, 0x21, 0x93, 0x9f, 0xa0, 0xc7, 0x2f, 0x50, 0x24, 0x6c, 0xbe, 0x7c, 0x66, 0x4b,
+	0x81, 0x8b, 0x80, 0xe0, 0x3e, 0xac, 0x3e, 0xbb, 0xcc, 0x12, 0x16, 0x3b, 0x59, 0x74, 0xd6, 0xa2,
+	0x30, 0xdd, 0xe8, 0x59, 0x37, 0xf8, 0x01, 0xfc, 0x05, 0x57, 0xd7, 0xb7, 0x09, 0x1d, 0x81, 0x21,
+	0x17, 0xc5, 0x3d, 0xf4, 0xa9, 0xf5, 0xee, 0xef, 0x82, 0x5f, 0xde, 0xa7, 0x64, 0x05, 0xba, 0xf4,
+	0xf8, 0xdd, 0xdb, 0x17, 0x6f, 0x9e, 0xaf, 0x7f, 0x45, 0x7c, 0xe8, 0xd1, 0x67, 0x27, 0xaf, 0x5e,
+	0x3c, 0x79, 0x7c, 0xba, 0xee, 0xed, 0xff, 0xd3, 0x80, 0xd6, 0x09, 0xa2, 0x20, 0x2f, 0xa1, 0x6d,
+	0xee, 0x39, 0xa9, 0xdf, 0xcf, 0xe5, 0x7d, 0x38, 0xba, 0xbd, 0x8c, 0xa2, 0x13, 0xfb, 0x0d, 0xfa,
+	0x8b, 0xb1, 0x26, 0x77, 0xbf, 0x74, 0x81, 0x2b, 0x63, 0x3f, 0xba, 0x19, 0x8d, 0x84, 0x30, 0xa8,
+	0x74, 0x9a, 0xec, 0xd6, 0xc6, 0xd5, 0x0d, 0xdc, 0xe8, 0xde, 0x4d, 0xa8, 0x3a, 0xff, 0x5f, 0xa1,
+	0x6b, 0x85, 0x26, 0x77, 0x6a, 0x63, 0xaa, 0x2d, 0x1b, 0x6d, 0x2f, 0x27, 0x65, 0xc9, 0x7c, 0xff,
+	0x4f, 0x0f, 0xda, 0x87, 0x09, 0xa2, 0x22, 0x27, 0xd0, 0x29, 0xbe, 0x2d, 0x48, 0x50, 0x1b, 0x56,
+	0xf9, 0xf0, 0x18, 0xdd, 0x80, 0x43, 0xde, 0x42, 0xcf, 0xf5, 0x9b, 0x7c, 0xbf, 0xf4, 0xef, 0xd5,
+	0x25, 0x1c, 0x5c, 0xc3, 0xca, 0x92, 0xf9, 0x2f, 0xa3, 0xdf, 0x87, 0x55, 0xd2, 0x03, 0xf3, 0xab,
+	0x99, 0x67, 0x1d, 0xf3, 0x1d, 0x78, 0xf0, 0x5f, 0x00, 0x00, 0x00, 0xff, 0xff, 0xd1, 0xb2, 0x69,
+	0xc6, 0x15, 0x0a, 0x00, 0x00,
 }
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -17,20 +17,46 @@
 	return max(last+1, int(now.UnixMilli()))
 }
 
-// Attempts follows the attempts at one answer, which may be repeated: only the
-// tokens that are delivered count. It decides what follows a failure and what
-// the caller may be told at the end.
+// Spender is a budget that each repeat of a request is taken from.
+type Spender interface {
+	// Spend takes one repeat from the budget, or returns false.
+	Spend() bool
+}
+
+// Attempts follows the attempts at one answer. It decides what follows a
+// failure and what the caller may be told at the end. Unless limited by an
+// option, attempts may be repeated at will: only what is delivered counts.
 type Attempts struct {
 	deadline time.Time
 	count    int
+	runs     int // attempts that may have run
+	maxRuns  int
 	maybeRan bool // some attempt may have run
 	excluded []string
 }
 
+// Option limits attempts.
+type Option func(*Attempts)
+
+// WithMaxRuns bounds the attempts that may have run; 1 makes every attempt that
+// may have run the last one.
+func WithMaxRuns(runs int) Option {
+	return func(attempts *Attempts) { attempts.maxRuns = runs }
+}
+
 // NewAttempts returns the attempts at an answer wanted by the deadline; resumed
 // says that an earlier daemon began it.
-func NewAttempts(deadline time.Time, resumed bool) *Attempts {
-	return &Attempts{deadline: deadline, maybeRan: resumed}
+func NewAttempts(deadline time.Time, resumed bool, options ...Option) *Attempts {
+	attempts := &Attempts{deadline: deadline, maybeRan: resumed, maxRuns: maxAttempts}
+	for _, option := range options {
+		option(attempts)
+	}
+	return attempts
+}
+
+// MaybeRan says whether some attempt may have run.
+func (attempts *Attempts) MaybeRan() bool {
+	return attempts.maybeRan
 }
 
 // Excluded returns the addresses that failed and are not to be tried again
@@ -53,16 +79,17 @@
 // Failed takes the failure of an attempt, and the addresses at fault as far as
 // they are known. It returns nil if another attempt is to follow; budget is asked
 // once for it.
-func (attempts *Attempts) Failed(now time.Time, failure *dragonflyhatch.Failure, culprits []string, budget *Budget) error {
+func (attempts *Attempts) Failed(now time.Time, failure *dragonflyhatch.Failure, culprits []string, budget Spender) error {
 	attempts.count++
 	if failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
 		attempts.maybeRan = true
+		attempts.runs++
 	}
 	attempts.excluded = append(attempts.excluded, culprits...)
 	switch {
 	case !now.Before(attempts.deadline):
 		return attempts.End(deadlineFailure(failure))
-	case attempts.count >= maxAttempts || !retryable(failure.Kind):
+	case attempts.count >= maxAttempts || attempts.runs >= attempts.maxRuns || !retryable(failure.Kind):
 		return attempts.End(failure)
 	case !budget.Spend():
 		return attempts.End(failure)
--- /dev/null
+++ b/hatchretry/shared.go
@@ -0,0 +1,98 @@
+package hatchretry
+
+import (
+	"sync"
+	"time"
+)
+
+// windowParts is how many parts a window is counted in.
+const windowParts = 20
+
+// safetyShare is the part of the fleet's budget that daemons spend: their counts
+// of each other lag, and they divide the window at different moments.
+const safetyShare = 0.7
+
+// SharedTerms are the terms of a budget that a fleet of daemons shares: in any
+// window the repeats of all daemons may be Ratio times the requests and Extra.
+type SharedTerms struct {
+	Ratio  float64
+	Extra  float64
+	Window time.Duration
+}
+
+// SharedBudget is one daemon's part of a fleet's budget for one service. It
+// needs no word from the others but their number. Its methods may be called by
+// several goroutines.
+type SharedBudget struct {
+	terms SharedTerms
+	epoch time.Time // of the process's own time, which the clock's steps do not touch
+
+	mu       sync.Mutex
+	part     int64 // number of the newest part of the window
+	requests [windowParts]int
+	repeats  [windowParts]int
+}
+
+// NewSharedBudget returns a budget in which nothing has been spent.
+func NewSharedBudget(terms SharedTerms) *SharedBudget {
+	return &SharedBudget{terms: terms, epoch: time.Now()}
+}
+
+// Earn notes the first attempt at a request.
+func (budget *SharedBudget) Earn(now time.Time) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.requests[budget.turn(now)]++
+}
+
+// Spend takes one repeat out of this daemon's part, or returns false. Daemons is
+// the number of those that share the budget.
+func (budget *SharedBudget) Spend(now time.Time, daemons int) bool {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	index := budget.turn(now)
+	if float64(sum(budget.repeats)+1) > budget.allowed(daemons) {
+		return false
+	}
+	budget.repeats[index]++
+	return true
+}
+
+// Left returns the repeats that are left in this daemon's part.
+func (budget *SharedBudget) Left(now time.Time, daemons int) int {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.turn(now)
+	return max(int(budget.allowed(daemons))-sum(budget.repeats), 0)
+}
+
+func (budget *SharedBudget) allowed(daemons int) float64 {
+	return safetyShare * (budget.terms.Ratio*float64(sum(budget.requests)) + budget.terms.Extra/float64(max(daemons, 1)))
+}
+
+// turn moves the window on to now and returns the index of its newest part.
+func (budget *SharedBudget) turn(now time.Time) int {
+	part := int64(now.Sub(budget.epoch)) / int64(budget.terms.Window/windowParts)
+	switch {
+	case part <= budget.part: // the newest part, or a moment read before another goroutine's
+	case part-budget.part >= windowParts:
+		clear(budget.requests[:])
+		clear(budget.repeats[:])
+		budget.part = part
+	default:
+		for budget.part < part {
+			budget.part++
+			index := budget.part % windowParts
+			budget.requests[index], budget.repeats[index] = 0, 0
+		}
+	}
+	return int(budget.part % windowParts)
+}
+
+func sum(counts [windowParts]int) int {
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
--- /dev/null
+++ b/hatchroute/table.go
@@ -0,0 +1,85 @@
+package hatchroute
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"dragonflyhatch"
+)
+
+// Table finds the route of a request and the organisation of a key. It never
+// changes; a new version of the configuration makes a new table.
+type Table struct {
+	*dragonflyhatch.Routing
+	byHost map[string][]*dragonflyhatch.Route // longest prefix first
+	byKey  map[string]*dragonflyhatch.Organisation
+}
+
+// NewTable returns the table of a configuration.
+func NewTable(routing *dragonflyhatch.Routing) *Table {
+	table := &Table{
+		Routing: routing,
+		byHost:  make(map[string][]*dragonflyhatch.Route),
+		byKey:   make(map[string]*dragonflyhatch.Organisation),
+	}
+	for i := range routing.Routes {
+		route := &routing.Routes[i]
+		host := strings.ToLower(route.Host)
+		table.byHost[host] = append(table.byHost[host], route)
+	}
+	for _, routes := range table.byHost {
+		slices.SortStableFunc(routes, func(a, b *dragonflyhatch.Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	for i := range routing.Organisations {
+		for _, key := range routing.Organisations[i].Keys {
+			table.byKey[key] = &routing.Organisations[i]
+		}
+	}
+	return table
+}
+
+// Route returns the route of the host with the longest prefix that begins the
+// path, or nil. The host may carry a port.
+func (table *Table) Route(host, path string) *dragonflyhatch.Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range table.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Organisation returns the organisation that holds the key, or nil.
+func (table *Table) Organisation(key string) *dragonflyhatch.Organisation {
+	return table.byKey[key]
+}
+
+// NeedsKey says whether a request on the route must carry a known key.
+func (table *Table) NeedsKey(route *dragonflyhatch.Route) bool {
+	return len(table.Organisations) > 0 && !route.Public
+}
+
+// Service returns the service that a request on the route goes to; draw is a
+// random number of at least 0 and below 1 that spreads requests by weight.
+func (table *Table) Service(route *dragonflyhatch.Route, draw float64) (dragonflyhatch.UpstreamService, bool) {
+	total := 0
+	for _, share := range route.Services {
+		total += share.Weight
+	}
+	mark := int(draw * float64(total))
+	for _, share := range route.Services {
+		if mark < share.Weight {
+			service, ok := table.Services[share.Name]
+			return service, ok
+		}
+		mark -= share.Weight
+	}
+	return dragonflyhatch.UpstreamService{}, false
+}
--- a/kind.go
+++ b/kind.go
@@ -2,7 +2,7 @@
 
 import "net/http"
 
-//go:generate go tool -modfile=tools/go.mod stringer -type=Kind,Ran,FrameKind,DrainSource,ChoicePolicy -linecomment -output=enums_string.go
+//go:generate go tool -modfile=tools/go.mod stringer -type=Kind,Ran,FrameKind,DrainSource,ChoicePolicy,RouteClass,OrderOutcome -linecomment -output=enums_string.go
 
 // Ran says what is known about whether a refused request was run.
 type Ran int
--- a/platform.go
+++ b/platform.go
@@ -11,6 +11,7 @@
 var (
 	ErrObjectMissing  = errors.New("object does not exist")
 	ErrVersionChanged = errors.New("object has another version")
+	ErrHistoryGone    = errors.New("changes since that version are forgotten")
 )
 
 // Object is one versioned value of the platform's object API.
