Changes reach all daemons though the store's watches are silent; fewer probes

Three daemons now poll the store and whoever learns something tells three peers at once. A replica that takes part in answers is not probed, and probes are spaced. A hedge now counts as a run of the route's replicas. Ruled out: the daemons' processor (0.026 of a core), KV memory.

--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -49,12 +49,13 @@
 			call.timeOut()
 			return
 		case <-hedge.C:
-			if call.Spend() {
+			if running < call.attempts.RunsLeft() && call.Spend() {
 				call.logger.Debug("hedged", "after", time.Since(call.begun))
 				_ = start() // without another replica the first attempt is all there is
 			}
 		case result := <-results:
 			running--
+			hedge.Stop()
 			switch done, failure := call.judge(result); {
 			case done:
 				call.pass(result.reply)
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -13,11 +13,14 @@
 
 const (
 	// probeTimeout bounds the opening of a connection that tells whether a
-	// replica is alive: ten times the way to another site and back.
+	// replica is alive: twenty times the way to another site and back.
 	probeTimeout = 40 * time.Millisecond
-	// probeAge is how long a proof of life counts, so that many streams over one
-	// replica do not all probe it.
-	probeAge = 30 * time.Millisecond
+	// secondProbe is when a second connection is tried beside the first, whose
+	// packet may have been lost.
+	secondProbe = 12 * time.Millisecond
+	// probeAge is how long a proof of life counts: longer than the usual time
+	// between two events of a stream.
+	probeAge = 50 * time.Millisecond
 	// recheckInterval is the pause between probes of a replica that is down.
 	recheckInterval = 300 * time.Millisecond
 	// recheckAge is how long a proof of life outweighs another daemon's warning.
@@ -38,13 +41,31 @@
 
 // alive says whether the replica accepts connections.
 func alive(ctx context.Context, node *hatchpath.Node) bool {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", node.Address)
-	if err != nil {
-		return false
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answers := make(chan bool, 2)
+	dial := func() {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", node.Address)
+		if err == nil {
+			conn.Close()
+		}
+		answers <- err == nil
+	}
+	go dial()
+	second := time.NewTimer(secondProbe)
+	defer second.Stop()
+	for dials := 1; ; {
+		select {
+		case answer := <-answers:
+			dials--
+			if answer || dials == 0 {
+				return answer
+			}
+		case <-second.C:
+			dials++
+			go dial()
+		}
 	}
-	conn.Close()
-	return true
 }
 
 // check probes the nodes that have not shown lately that they are alive, and
@@ -53,7 +74,12 @@
 	dead := make([]bool, len(nodes))
 	var group conc.WaitGroup
 	for i, node := range nodes {
-		if node.SinceReached(time.Now()) < probeAge && !node.Down(time.Now()) {
+		now := time.Now()
+		if node.DownFor(now) > 0 {
+			dead[i] = true // another stream has found it
+			continue
+		}
+		if node.SinceReached(now) < probeAge || !node.TakeProbe(now) {
 			continue
 		}
 		group.Go(func() {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -239,6 +239,7 @@
 		count, err := body.Read(buffer)
 		watch.arrived(count > 0)
 		if count > 0 {
+			watch.worked()
 			if events, id := splitter.add(buffer[:count]); len(events) > 0 {
 				if writeErr := stream.write(opened, events, id); writeErr != nil {
 					return writeErr
@@ -291,9 +292,16 @@
 	// firstSilence is how long a stream may be silent before its first event
 	// until the replicas of its pipeline are checked: twice the usual time.
 	firstSilence = 150 * time.Millisecond
-	// eventSilence is the same between events. With a check and a new start
-	// elsewhere the pause stays below the usual limit of 200 ms.
-	eventSilence = 80 * time.Millisecond
+	// eventSilence is the same between events, at the least. With a check and a
+	// new start elsewhere the pause stays below the usual limit of 200 ms.
+	eventSilence = 60 * time.Millisecond
+	// usualGaps is how many times the stream's own mean time between events it
+	// may be silent.
+	usualGaps = 3
+	// maxEventSilence bounds that.
+	maxEventSilence = 300 * time.Millisecond
+	// gapWeight is the weight of the newest time between events in its mean.
+	gapWeight = 0.1
 	// silenceGrowth lengthens the time until the next check of a stream whose
 	// replicas are all alive.
 	silenceGrowth = 2
@@ -311,6 +319,7 @@
 	mu       sync.Mutex
 	timer    *time.Timer
 	since    time.Time     // of the last event, or of the start
+	usual    time.Duration // mean time between events
 	silence  time.Duration // until the next check
 	paused   bool          // the caller is written to, which may take its time
 	stopped  bool
@@ -338,8 +347,22 @@
 	defer watch.mu.Unlock()
 	watch.timer.Stop()
 	watch.paused = true
-	if some {
-		watch.since, watch.silence = time.Now(), eventSilence
+	if !some {
+		return
+	}
+	now := time.Now()
+	if watch.silence != firstSilence || watch.usual > 0 {
+		watch.usual += time.Duration(gapWeight * float64(now.Sub(watch.since)-watch.usual))
+	}
+	watch.since = now
+	watch.silence = min(max(usualGaps*watch.usual, eventSilence), maxEventSilence)
+}
+
+// worked notes that all stages took part in what came.
+func (watch *watch) worked() {
+	now := time.Now()
+	for _, node := range watch.pipeline.Nodes {
+		node.Worked(now)
 	}
 }
 
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -30,9 +30,9 @@
 	kind() string
 	// listed takes all objects of the kind; away says that the store was not to
 	// be reached before.
-	listed(objects []dragonflyhatch.Object, away bool)
-	// changed takes changes since.
-	changed(changes []dragonflyhatch.Change)
+	listed(objects []dragonflyhatch.Object, version uint64, away bool)
+	// changed takes all changes since, up to the version.
+	changed(changes []dragonflyhatch.Change, version uint64)
 }
 
 // follow keeps the follower informed until ctx is done: by a listing, then by
@@ -43,7 +43,7 @@
 	for ctx.Err() == nil {
 		objects, version, err := gateway.store.List(ctx, prefix)
 		if err == nil {
-			follower.listed(objects, away)
+			follower.listed(objects, version, away)
 			if away {
 				gateway.logger.Info("store regained", "kind", follower.kind(), "version", version)
 			}
@@ -55,7 +55,7 @@
 		}
 		if errors.Is(err, dragonflyhatch.ErrHistoryGone) {
 			gateway.logger.Info("store forgot its history", "kind", follower.kind())
-			continue
+			continue // a watch of another kind may still be silent: see poll
 		}
 		if !away {
 			gateway.logger.Warn("store lost", "kind", follower.kind(), "error", err)
@@ -75,7 +75,7 @@
 		}
 		version = next
 		if len(changes) > 0 {
-			follower.changed(changes)
+			follower.changed(changes, version)
 			gateway.pause(ctx, watchPause)
 		}
 	}
@@ -97,13 +97,13 @@
 
 func (routingFollower) kind() string { return platform.RoutingKind }
 
-func (follower routingFollower) listed(objects []dragonflyhatch.Object, _ bool) {
+func (follower routingFollower) listed(objects []dragonflyhatch.Object, _ uint64, _ bool) {
 	for _, object := range objects {
 		follower.take(object)
 	}
 }
 
-func (follower routingFollower) changed(changes []dragonflyhatch.Change) {
+func (follower routingFollower) changed(changes []dragonflyhatch.Change, _ uint64) {
 	for _, change := range changes {
 		if !change.Deleted {
 			follower.take(change.Object)
@@ -138,7 +138,9 @@
 	gateway.rebuild()
 	if first {
 		close(gateway.hasTable)
+		return
 	}
+	go gateway.tellNews()
 }
 
 // rebuild replaces the view; the mutex must be held.
@@ -157,7 +159,31 @@
 
 func (replicaFollower) kind() string { return platform.ReplicaKind }
 
-func (follower replicaFollower) listed(objects []dragonflyhatch.Object, away bool) {
+func (follower replicaFollower) listed(objects []dragonflyhatch.Object, version uint64, away bool) {
+	list := follower.decode(objects)
+	now := time.Now()
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if away {
+		follower.replicas.returned(now)
+	}
+	follower.replicas.replace(list, version, now)
+	follower.rebuild()
+}
+
+// polled takes a listing that was read beside the watch.
+func (follower replicaFollower) polled(objects []dragonflyhatch.Object, version uint64) {
+	list := follower.decode(objects)
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	if !follower.replicas.replace(list, version, time.Now()) {
+		return
+	}
+	follower.rebuild()
+	go follower.tellNews()
+}
+
+func (follower replicaFollower) decode(objects []dragonflyhatch.Object) []dragonflyhatch.Replica {
 	var list []dragonflyhatch.Replica
 	for _, object := range objects {
 		replica, err := platform.DecodeReplica(object)
@@ -167,25 +193,30 @@
 		}
 		list = append(list, replica)
 	}
-	now := time.Now()
-	follower.mu.Lock()
-	defer follower.mu.Unlock()
-	if away {
-		follower.replicas.returned(now)
-	}
-	follower.replicas.replace(list, now)
-	follower.rebuild()
+	return list
 }
 
-func (follower replicaFollower) changed(changes []dragonflyhatch.Change) {
+func (follower replicaFollower) changed(changes []dragonflyhatch.Change, version uint64) {
 	now := time.Now()
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
+	urgent := false
 	for _, change := range changes {
 		follower.change(change, now)
+		urgent = urgent || change.Deleted || isLeaving(change.Object)
 	}
+	follower.replicas.saw(version)
 	follower.replicas.expire(now)
 	follower.rebuild()
+	if urgent {
+		go follower.tellNews()
+	}
+}
+
+// isLeaving says whether the object registers a replica that is leaving.
+func isLeaving(object dragonflyhatch.Object) bool {
+	replica, err := platform.DecodeReplica(object)
+	return err == nil && replica.Leaving
 }
 
 func (follower replicaFollower) change(change dragonflyhatch.Change, now time.Time) {
@@ -227,11 +258,11 @@
 	}
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	if version <= gateway.replicas.version {
+	if version <= gateway.replicas.seen {
 		return
 	}
 	gateway.logger.Info("replicas learnt", "source", source, "version", version, "before", gateway.replicas.version)
-	gateway.replicas.replace(list, time.Now())
-	gateway.replicas.version = version
+	gateway.replicas.replace(list, version, time.Now())
+	gateway.replicas.version = max(gateway.replicas.version, version)
 	gateway.rebuild()
 }
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -37,7 +37,9 @@
 	view      atomic.Pointer[hatchpath.View]
 	daemons   atomic.Int32
 	stopping  atomic.Bool
-	hasTable  chan struct{} // closed once there is a table
+
+	catchingUp atomic.Bool   // from a peer that knows more
+	hasTable   chan struct{} // closed once there is a table
 
 	mu       sync.Mutex // guards what follows
 	roster   *hatchmember.Roster
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -68,23 +68,11 @@
 		gateway.mu.Unlock()
 		if suspect {
 			gateway.logger.Warn("daemon does not answer", "host", member.Host, "address", member.PeerAddress, "error", err)
-			gateway.warnPeers(ctx)
+			gateway.tellNews()
 		}
 	}
 }
 
-// warned is the number of peers that are told at once of a suspect daemon.
-const warned = 3
-
-func (gateway *Gateway) warnPeers(ctx context.Context) {
-	gateway.mu.Lock()
-	peers := gateway.roster.Peers(gateway.random)
-	gateway.mu.Unlock()
-	for _, peer := range peers[:min(len(peers), warned)] {
-		go func() { _ = gateway.exchange(ctx, peer.PeerAddress) }() // the next exchange tells it again
-	}
-}
-
 // exchange sends the daemon's gossip to the address and takes the answer.
 func (gateway *Gateway) exchange(ctx context.Context, address string) error {
 	gateway.mu.Lock()
@@ -95,7 +83,6 @@
 		return err
 	}
 	gateway.take(answer)
-	gateway.catchUp(ctx, answer)
 	return nil
 }
 
@@ -153,6 +140,32 @@
 	for _, address := range gossip.LostReplicas {
 		gateway.forwarder.Recheck(address)
 	}
+	if gateway.isBehind(gossip) && gateway.catchingUp.CompareAndSwap(false, true) {
+		go func() {
+			defer gateway.catchingUp.Store(false)
+			gateway.catchUp(context.Background(), gossip)
+		}()
+	}
+}
+
+// isBehind says whether the peer knows something newer.
+func (gateway *Gateway) isBehind(peer dragonflyhatch.Gossip) bool {
+	own := gateway.versions()
+	return peer.RoutingVersion > own.RoutingVersion || peer.ReplicasVersion > own.ReplicasVersion
+}
+
+// toldOfNews is the number of peers that a daemon tells at once of what it has
+// learnt and others may not hear from the store.
+const toldOfNews = 3
+
+// tellNews exchanges gossip with some random peers at once.
+func (gateway *Gateway) tellNews() {
+	gateway.mu.Lock()
+	peers := gateway.roster.Peers(gateway.random)
+	gateway.mu.Unlock()
+	for _, peer := range peers[:min(len(peers), toldOfNews)] {
+		go func() { _ = gateway.exchange(context.Background(), peer.PeerAddress) }() // the next exchange tells it again
+	}
 }
 
 // countDaemons notes how many daemons share the work; the mutex must be held.
@@ -185,11 +198,11 @@
 	gateway.adoptReplicas(version, value, peer.From.Host)
 }
 
-// versions returns the versions that the daemon knows.
+// versions returns the versions up to which the daemon knows all.
 func (gateway *Gateway) versions() dragonflyhatch.Gossip {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return dragonflyhatch.Gossip{RoutingVersion: gateway.routing.version, ReplicasVersion: gateway.replicas.version}
+	return dragonflyhatch.Gossip{RoutingVersion: gateway.routing.version, ReplicasVersion: gateway.replicas.seen}
 }
 
 // Snapshot returns the routing or the replicas that the daemon knows, as JSON,
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -16,6 +16,7 @@
 // and return what changed; the set has no clock of its own.
 type replicaSet struct {
 	version  uint64 // of the newest change
+	seen     uint64 // version of the store up to which all changes are known
 	byID     map[string]dragonflyhatch.Replica
 	missing  map[string]time.Time // when to forget replicas that a listing lacked
 	awayTill time.Time            // until then removals may be of replicas that live
@@ -42,14 +43,17 @@
 	set.awayTill = now.Add(returnTime)
 }
 
-// put takes a registration; an older one than is known changes nothing.
-func (set *replicaSet) put(replica dragonflyhatch.Replica) {
+// put takes a registration and says whether it was news; an older one than is
+// known changes nothing.
+func (set *replicaSet) put(replica dragonflyhatch.Replica) bool {
 	set.version = max(set.version, replica.Revision)
-	if known, ok := set.byID[replica.ID]; ok && known.Revision > replica.Revision {
-		return
+	known, ok := set.byID[replica.ID]
+	if ok && known.Revision > replica.Revision {
+		return false
 	}
 	set.byID[replica.ID] = replica
 	delete(set.missing, replica.ID)
+	return !ok || known.Revision < replica.Revision
 }
 
 // remove takes the end of a registration.
@@ -74,19 +78,30 @@
 	set.missing[id] = until
 }
 
-// replace takes a whole listing that is complete up to the version.
-func (set *replicaSet) replace(list []dragonflyhatch.Replica, now time.Time) {
+// saw notes that all changes up to the version are known.
+func (set *replicaSet) saw(version uint64) {
+	set.seen = max(set.seen, version, set.version)
+}
+
+// replace takes a whole listing as of the version, and says whether it held
+// news. One that is older than what is known changes nothing.
+func (set *replicaSet) replace(list []dragonflyhatch.Replica, version uint64, now time.Time) bool {
+	if version < set.seen {
+		return set.expire(now)
+	}
+	news := false
 	listed := make(map[string]bool, len(list))
 	for _, replica := range list {
 		listed[replica.ID] = true
-		set.put(replica)
+		news = set.put(replica) || news
 	}
 	for id := range set.byID {
 		if !listed[id] {
 			set.miss(id, now)
 		}
 	}
-	set.expire(now)
+	set.saw(version)
+	return set.expire(now) || news
 }
 
 // expire forgets the replicas that did not come back in time, and says whether
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -37,6 +37,8 @@
 	fullUntil atomic.Int64 // ticks
 	reached   atomic.Int64 // ticks of the last proof of life
 	downSince atomic.Int64 // ticks, 0 unless the replica is down
+	nextProbe atomic.Int64 // ticks before which there is no further probe
+	probeGap  atomic.Int64 // nanoseconds, grows with each probe in vain
 	latency   average      // seconds
 	failures  average      // share of answers that are failures
 	load      atomic.Pointer[timedLoad]
@@ -102,6 +104,36 @@
 	health.downSince.Store(0)
 }
 
+// Worked notes that the replica took part in an answer, so that there is no
+// reason to probe it.
+func (health *Health) Worked(now time.Time) {
+	health.reached.Store(ticks(now))
+	health.probeGap.Store(0)
+}
+
+const (
+	// minProbeGap and maxProbeGap bound the pause between probes of a replica
+	// that answers them though requests over it stand still: a probe takes the
+	// replica some time too.
+	minProbeGap = 150 * time.Millisecond
+	maxProbeGap = 2 * time.Second
+)
+
+// TakeProbe says whether the replica may be probed now. It returns true to one
+// caller at a time, and the less often the more probes have changed nothing.
+func (health *Health) TakeProbe(now time.Time) bool {
+	next := health.nextProbe.Load()
+	if ticks(now) < next {
+		return false
+	}
+	gap := min(max(2*time.Duration(health.probeGap.Load()), minProbeGap), maxProbeGap)
+	if !health.nextProbe.CompareAndSwap(next, ticks(now.Add(gap))) {
+		return false
+	}
+	health.probeGap.Store(int64(gap))
+	return true
+}
+
 // SinceReached returns how long ago the replica showed that it is alive.
 func (health *Health) SinceReached(now time.Time) time.Duration {
 	return time.Duration(ticks(now) - health.reached.Load())
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -59,6 +59,11 @@
 	return attempts.maybeRan
 }
 
+// RunsLeft returns how many more attempts may run, those under way included.
+func (attempts *Attempts) RunsLeft() int {
+	return attempts.maxRuns - attempts.runs
+}
+
 // Excluded returns the addresses that failed and are not to be tried again
 // while others are left.
 func (attempts *Attempts) Excluded() []string {
