--- a/cmd/dragonflyhatch/gateway.go
+++ b/cmd/dragonflyhatch/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -41,5 +43,23 @@
 	logger := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
 	stop, _, end := stopContexts(ctx)
 	defer end()
-	return hatchgateway.New(settings, hatchgateway.WithLogger(logger)).Run(stop)
+	gateway := hatchgateway.New(settings, hatchgateway.WithLogger(logger))
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			reload(gateway, path, logger)
+		}
+	}()
+	return gateway.Run(stop)
+}
+
+// reload reads the settings again. Faulty ones change nothing.
+func reload(gateway *hatchgateway.Gateway, path string, logger *slog.Logger) {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		logger.Error("settings not reloaded", "error", err)
+		return
+	}
+	gateway.Reload(settings)
 }
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -213,6 +213,7 @@
 		Tokens:  call.facts.PromptTokens + call.facts.OutputTokens,
 		Exclude: call.attempts.Excluded(),
 		Daemons: call.forwarder.fleet.Daemons(),
+		Random:  rand.New(sharedRandom{}),
 	}
 }
 
--- a/hatchforward/meters.go
+++ b/hatchforward/meters.go
@@ -15,6 +15,7 @@
 	budgetSpent metrics.Counter
 	resumes     metrics.Counter
 	stalls      metrics.Counter
+	longPauses  metrics.Counter
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -31,6 +32,7 @@
 		budgetSpent: metrics.GetOrRegisterCounter("retries.budgetSpent", registry),
 		resumes:     metrics.GetOrRegisterCounter("streams.resumed", registry),
 		stalls:      metrics.GetOrRegisterCounter("streams.stalled", registry),
+		longPauses:  metrics.GetOrRegisterCounter("streams.pausedTooLong", registry),
 	}
 }
 
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -90,7 +90,7 @@
 }
 
 func (call *call) chooseService() (*hatchpath.Node, error) {
-	return call.forwarder.fleet.View().Service(time.Now(), call.query(), rand.New(sharedRandom{}))
+	return call.forwarder.fleet.View().Service(time.Now(), call.query())
 }
 
 // sharedRandom draws from the process's generator, which may be used by several
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -13,14 +13,15 @@
 
 const (
 	// probeTimeout bounds the opening of a connection that tells whether a
-	// replica is alive: twenty times the way to another site and back.
-	probeTimeout = 40 * time.Millisecond
+	// replica is alive: ten times the way to another site and back. A stream that
+	// stands still must go on within 200 ms.
+	probeTimeout = 16 * time.Millisecond
 	// secondProbe is when a second connection is tried beside the first, whose
 	// packet may have been lost.
-	secondProbe = 12 * time.Millisecond
+	secondProbe = 5 * time.Millisecond
 	// probeAge is how long a proof of life counts: longer than the usual time
-	// between two events of a stream.
-	probeAge = 50 * time.Millisecond
+	// between two events of a stream, and shorter than eventSilence.
+	probeAge = 35 * time.Millisecond
 	// recheckInterval is the pause between probes of a replica that is down.
 	recheckInterval = 300 * time.Millisecond
 	// recheckAge is how long a proof of life outweighs another daemon's warning.
@@ -33,10 +34,39 @@
 
 	mu      sync.Mutex
 	waiting map[*hatchpath.Health]bool // down, and probed now and then
+	watches map[*watch]bool            // of the streams under way
 }
 
 func newProber(fleet Fleet) *prober {
-	return &prober{fleet: fleet, waiting: make(map[*hatchpath.Health]bool)}
+	return &prober{
+		fleet:   fleet,
+		waiting: make(map[*hatchpath.Health]bool),
+		watches: make(map[*watch]bool),
+	}
+}
+
+// add has the watch told of replicas that are found unreachable.
+func (prober *prober) add(watch *watch) {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	prober.watches[watch] = true
+}
+
+func (prober *prober) remove(watch *watch) {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	delete(prober.watches, watch)
+}
+
+// tellWatches has all streams over the node go on elsewhere.
+func (prober *prober) tellWatches(node *hatchpath.Node) {
+	prober.mu.Lock()
+	defer prober.mu.Unlock()
+	for watch := range prober.watches {
+		if watch.uses(node) {
+			go watch.lost(node)
+		}
+	}
 }
 
 // alive says whether the replica accepts connections.
@@ -106,6 +136,7 @@
 func (prober *prober) unreachable(node *hatchpath.Node) {
 	if node.Unreachable(time.Now()) {
 		prober.fleet.Lost(node.Replica)
+		prober.tellWatches(node)
 	}
 	prober.mu.Lock()
 	defer prober.mu.Unlock()
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +33,7 @@
 	*call
 	headSent    bool   // the caller has the head of the answer
 	lastID      string // of the last event that was passed on
+	lastAt      time.Time
 	resumeAfter string // id of the last event that the caller has
 	flusher     http.Flusher
 }
@@ -153,8 +155,11 @@
 }
 
 // priority returns the request's rank at the engines: the organisation's, or
-// else the route's.
+// else the route's. A stream that stands still goes before all.
 func (stream *stream) priority() int {
+	if stream.headSent {
+		return 0
+	}
 	priority := stream.route.Priority
 	if stream.owner != nil {
 		priority = stream.owner.Priority
@@ -282,29 +287,43 @@
 	if stream.flusher != nil {
 		stream.flusher.Flush()
 	}
+	stream.notePause()
 	if lastID != "" {
 		stream.lastID, stream.resumeAfter = lastID, lastID
 	}
 	return nil
 }
 
+// notePause records a pause between events that the route counts as too long.
+func (stream *stream) notePause() {
+	now := time.Now()
+	if pause := now.Sub(stream.lastAt); !stream.lastAt.IsZero() && stream.route.MaxPause > 0 && pause > stream.route.MaxPause {
+		stream.forwarder.meters.longPauses.Inc(1)
+		stream.logger.Warn("stream paused", "pause", pause, "allowed", stream.route.MaxPause, "after", stream.lastID)
+	}
+	stream.lastAt = now
+}
+
 const (
 	// firstSilence is how long a stream may be silent before its first event
 	// until the replicas of its pipeline are checked: twice the usual time.
 	firstSilence = 150 * time.Millisecond
 	// eventSilence is the same between events, at the least. With a check and a
 	// new start elsewhere the pause stays below the usual limit of 200 ms.
-	eventSilence = 60 * time.Millisecond
+	eventSilence = 45 * time.Millisecond
+	// shortSilence is how long a stream must be silent to be taken from a replica
+	// that others have found unreachable: about the usual time between events.
+	shortSilence = 25 * time.Millisecond
 	// usualGaps is how many times the stream's own mean time between events it
 	// may be silent.
-	usualGaps = 3
+	usualGaps = 2
 	// maxEventSilence bounds that.
 	maxEventSilence = 300 * time.Millisecond
 	// gapWeight is the weight of the newest time between events in its mean.
 	gapWeight = 0.1
-	// silenceGrowth lengthens the time until the next check of a stream whose
-	// replicas are all alive.
-	silenceGrowth = 2
+	// nextCheck is the pause until the next check of a stream whose replicas are
+	// all alive.
+	nextCheck = 60 * time.Millisecond
 	// longestSilence ends an attempt though its replicas seem alive: callers
 	// give up after two seconds.
 	longestSilence = 1200 * time.Millisecond
@@ -330,9 +349,27 @@
 func (stream *stream) newWatch(pipeline *hatchpath.Pipeline, cancel context.CancelFunc) *watch {
 	watch := &watch{stream: stream, pipeline: pipeline, cancel: cancel, since: time.Now(), silence: firstSilence}
 	watch.timer = time.AfterFunc(watch.silence, watch.check)
+	stream.forwarder.prober.add(watch)
 	return watch
 }
 
+// uses says whether the stream runs over the node.
+func (watch *watch) uses(node *hatchpath.Node) bool {
+	return slices.ContainsFunc(watch.pipeline.Nodes, func(stage *hatchpath.Node) bool { return stage.Health == node.Health })
+}
+
+// lost ends the attempt because a replica of its pipeline was found
+// unreachable. A stream that has just had an event may still be whole: only one
+// that is silent is ended.
+func (watch *watch) lost(node *hatchpath.Node) {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
+	if watch.stopped || watch.paused || time.Since(watch.since) < shortSilence {
+		return
+	}
+	watch.giveUp("no connection to a stage", []string{node.Address})
+}
+
 // waiting notes that the next event is waited for.
 func (watch *watch) waiting() {
 	watch.mu.Lock()
@@ -367,6 +404,7 @@
 }
 
 func (watch *watch) stop() {
+	watch.stream.forwarder.prober.remove(watch)
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	watch.stopped = true
@@ -403,11 +441,8 @@
 		watch.giveUp("no connection to a stage", culprits)
 	case silent > longestSilence:
 		watch.giveUp("silent for "+silent.Round(time.Millisecond).String(), nil)
-	default:
-		watch.silence *= silenceGrowth
-		if !watch.paused {
-			watch.timer.Reset(watch.silence)
-		}
+	case !watch.paused:
+		watch.timer.Reset(nextCheck)
 	}
 }
 
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -133,6 +133,7 @@
 func (gateway *Gateway) Lost(replica dragonflyhatch.Replica) {
 	gateway.logger.Warn("replica unreachable", "replica", replica.ID, "address", replica.Address, "service", replica.Service)
 	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
 	gateway.lost[replica.Address] = time.Now()
+	gateway.mu.Unlock()
+	go gateway.tellNews()
 }
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -115,7 +115,7 @@
 	// minProbeGap and maxProbeGap bound the pause between probes of a replica
 	// that answers them though requests over it stand still: a probe takes the
 	// replica some time too.
-	minProbeGap = 150 * time.Millisecond
+	minProbeGap = 60 * time.Millisecond
 	maxProbeGap = 2 * time.Second
 )
 
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,6 +16,7 @@
 	Tokens  int      // of prompt and answer
 	Exclude []string // addresses that have failed this request
 	Daemons int      // that send work to the same engines, 1 at least
+	Random  *rand.Rand
 }
 
 // Pipeline is a choice: stages that cover the layers once and in order.
@@ -44,6 +46,10 @@
 	crossingCost = 2
 	// stageCost is that of each further stage, in the same unit.
 	stageCost = 0.1
+	// siteSpread is the range of a random factor on the cost of other sites, so
+	// that the daemons that lose a pipeline at once do not all choose the same
+	// other one.
+	siteSpread = 0.8
 	// remoteCost weighs a pipeline in another site than the daemon's.
 	remoteCost = 0.5
 	// fillWeight weighs the share of an engine's KV memory that is in use.
@@ -79,6 +85,7 @@
 			}
 			if site != query.Site {
 				found.cost += remoteCost
+				found.cost *= 1 + siteSpread*query.Random.Float64()
 			}
 			if best == nil || found.cost < best.cost {
 				best = found
--- a/hatchpath/service.go
+++ b/hatchpath/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,14 +23,14 @@
 
 // Service returns the replica of a plain service that is likely to answer first,
 // or a Failure of KindUpstreamUnavailable.
-func (view *View) Service(now time.Time, query Query, random *rand.Rand) (*Node, error) {
+func (view *View) Service(now time.Time, query Query) (*Node, error) {
 	var best *Node
 	bestCost := math.Inf(1)
 	for _, node := range view.byName[query.Service] {
 		if node.Down(now) || slices.Contains(query.Exclude, node.Address) {
 			continue
 		}
-		cost := node.serviceCost(now, query) * (0.9 + 0.2*random.Float64())
+		cost := node.serviceCost(now, query) * (0.9 + 0.2*query.Random.Float64())
 		if cost < bestCost {
 			best, bestCost = node, cost
 		}
