--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -38,7 +38,8 @@
 	daemons   atomic.Int32
 	stopping  atomic.Bool
 
-	catchingUp atomic.Bool   // from a peer that knows more
+	catchingUp atomic.Bool // from a peer that knows more
+	seeds      atomic.Pointer[[]string]
 	hasTable   chan struct{} // closed once there is a table
 
 	mu       sync.Mutex // guards what follows
@@ -98,6 +99,7 @@
 		PeerAddress:   settings.PeerAddress,
 		Version:       uint64(now.UnixMilli()),
 	})
+	gateway.seeds.Store(&settings.Seeds)
 	gateway.daemons.Store(1)
 	gateway.view.Store(hatchpath.NewView(nil, nil, gateway.healths))
 	bounds := settings.Bounds
@@ -111,6 +113,13 @@
 	return gateway
 }
 
+// Reload takes new settings. Only the seeds may change while a daemon runs: its
+// addresses and bounds are those of its start.
+func (gateway *Gateway) Reload(settings *platform.Settings) {
+	gateway.seeds.Store(&settings.Seeds)
+	gateway.logger.Info("settings reloaded", "seeds", settings.Seeds)
+}
+
 // Table returns the routes in force, or nil before the first configuration.
 func (gateway *Gateway) Table() *hatchroute.Table {
 	return gateway.table.Load()
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -41,7 +41,7 @@
 // join exchanges gossip with the seeds.
 func (gateway *Gateway) join(ctx context.Context) {
 	var group conc.WaitGroup
-	for _, address := range gateway.settings.Seeds {
+	for _, address := range *gateway.seeds.Load() {
 		if address == gateway.settings.PeerAddress {
 			continue
 		}
