Layers lie in a chain of each site's fastest engines; the others double it

Now the chain takes the fastest engines, 77% of their memory; the others hold the chain's layers a second time and are the first to be moved. Requests go to the site where least KV memory is in use.

--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -13,15 +13,15 @@
 
 const (
 	// probeTimeout bounds the opening of a connection that tells whether a
-	// replica is alive: ten times the way to another site and back. A stream that
+	// replica is alive: twenty times the way to another site and back. A stream that
 	// stands still must go on within 200 ms.
-	probeTimeout = 16 * time.Millisecond
+	probeTimeout = 30 * time.Millisecond
 	// secondProbe is when a second connection is tried beside the first, whose
 	// packet may have been lost.
-	secondProbe = 5 * time.Millisecond
+	secondProbe = 15 * time.Millisecond
 	// probeAge is how long a proof of life counts: longer than the usual time
 	// between two events of a stream, and shorter than eventSilence.
-	probeAge = 35 * time.Millisecond
+	probeAge = 40 * time.Millisecond
 	// recheckInterval is the pause between probes of a replica that is down.
 	recheckInterval = 300 * time.Millisecond
 	// recheckAge is how long a proof of life outweighs another daemon's warning.
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -86,7 +86,9 @@
 
 func (stream *stream) choosePath() (*hatchpath.Pipeline, error) {
 	if stream.service.Model != nil {
-		return stream.forwarder.fleet.View().Pipeline(time.Now(), stream.query())
+		query := stream.query()
+		query.AnySite = stream.headSent
+		return stream.forwarder.fleet.View().Pipeline(time.Now(), query)
 	}
 	node, err := stream.chooseService()
 	if err != nil {
@@ -310,7 +312,7 @@
 	firstSilence = 150 * time.Millisecond
 	// eventSilence is the same between events, at the least. With a check and a
 	// new start elsewhere the pause stays below the usual limit of 200 ms.
-	eventSilence = 45 * time.Millisecond
+	eventSilence = 60 * time.Millisecond
 	// shortSilence is how long a stream must be silent to be taken from a replica
 	// that others have found unreachable: about the usual time between events.
 	shortSilence = 25 * time.Millisecond
--- a/hatchorder/placement.go
+++ b/hatchorder/placement.go
@@ -8,13 +8,14 @@
 	"dragonflyhatch"
 )
 
-// maxWeightShare is the share of an engine's memory that its layers may take when
-// it stands in for a lost one; the rest is KV memory.
-const maxWeightShare = 0.85
-
-// minimumSlack is how much larger than the model a site's memory must be for a
-// pipeline of its own: KV memory needs the rest.
-const minimumSlack = 1.25
+const (
+	// weightShare is the share of an engine's memory that layers take when they
+	// are laid out. The rest is KV memory: at the usual size of a layer and of a
+	// token's cache in it, for about 70,000 tokens.
+	weightShare = 0.77
+	// standInShare is the same for an engine that stands in for a lost one.
+	standInShare = 0.9
+)
 
 // PlacedEngine is an engine as the planner sees it: alive and not leaving.
 type PlacedEngine struct {
@@ -34,9 +35,11 @@
 }
 
 // PlanLayers decides which engines are to hold other layers than they do. It
-// gives each site a pipeline of its own if its memory allows, keeps what stands,
-// and has lost layers taken over by idle engines or by the neighbours. The same
-// engines always give the same plan, and a plan that was carried out gives none.
+// gives each site a pipeline of its own if its memory allows: a chain of the
+// fastest engines. The others hold layers of the chain a second time. What
+// stands is kept. Layers that are lost are loaded by engines whose own layers
+// others hold too, or by the neighbours in the chain. The same engines always
+// give the same plan, and a plan that was carried out gives none.
 func PlanLayers(model *dragonflyhatch.EngineModel, engines []PlacedEngine) []Placement {
 	var plan []Placement
 	for _, group := range groupBySite(model, engines) {
@@ -52,8 +55,8 @@
 	plans   []Placement
 }
 
-// groupBySite makes a group of each site with memory for a pipeline. The engines
-// of the other sites form one group together, which may be unable to hold one.
+// groupBySite makes a group of each site whose engines can hold the model. The
+// engines of the other sites form one group together, which may be unable to.
 func groupBySite(model *dragonflyhatch.EngineModel, engines []PlacedEngine) []*placementGroup {
 	bySite := make(map[string]*placementGroup)
 	var sites []string
@@ -70,160 +73,182 @@
 	var groups []*placementGroup
 	rest := &placementGroup{model: model}
 	for _, site := range sites {
-		group := bySite[site]
-		if group.memory() >= minimumSlack*float64(model.Layers)*model.LayerMB {
+		if group := bySite[site]; group.capacity() >= model.Layers {
 			groups = append(groups, group)
-			continue
+		} else {
+			rest.engines = append(rest.engines, group.engines...)
 		}
-		rest.engines = append(rest.engines, group.engines...)
 	}
 	if len(rest.engines) > 0 {
 		groups = append(groups, rest)
 	}
 	for _, group := range groups {
-		slices.SortFunc(group.engines, func(a, b *PlacedEngine) int {
-			return cmp.Or(
-				cmp.Compare(a.Layers.First, b.Layers.First),
-				cmp.Compare(b.memory(model), a.memory(model)),
-				cmp.Compare(a.Replica.ID, b.Replica.ID),
-			)
-		})
+		slices.SortFunc(group.engines, group.compare)
 	}
 	return groups
 }
 
-func (engine *PlacedEngine) memory(model *dragonflyhatch.EngineModel) float64 {
-	return model.Accelerators[engine.Replica.Accelerator].MemoryMB
+// compare orders engines by what they take for a token and for a prompt, the
+// fastest first.
+func (group *placementGroup) compare(a, b *PlacedEngine) int {
+	slowness := func(engine *PlacedEngine) float64 {
+		accelerator := group.model.Accelerators[engine.Replica.Accelerator]
+		return accelerator.Pace + accelerator.ReadFactor
+	}
+	return cmp.Or(
+		cmp.Compare(slowness(a), slowness(b)),
+		cmp.Compare(group.memory(b), group.memory(a)),
+		cmp.Compare(a.Replica.ID, b.Replica.ID),
+	)
+}
+
+func (group *placementGroup) memory(engine *PlacedEngine) float64 {
+	return group.model.Accelerators[engine.Replica.Accelerator].MemoryMB
 }
 
-// capacity returns how many layers the engine may hold at most.
-func (engine *PlacedEngine) capacity(model *dragonflyhatch.EngineModel) int {
-	return int(maxWeightShare * engine.memory(model) / model.LayerMB)
+// room returns how many layers the engine holds in the share of its memory.
+func (group *placementGroup) room(engine *PlacedEngine, share float64) int {
+	return int(share * group.memory(engine) / group.model.LayerMB)
 }
 
-func (group *placementGroup) memory() float64 {
-	total := 0.0
+// capacity returns how many layers all engines can hold when they are laid out.
+func (group *placementGroup) capacity() int {
+	total := 0
 	for _, engine := range group.engines {
-		total += engine.memory(group.model)
+		total += group.room(engine, weightShare)
 	}
 	return total
 }
 
 func (group *placementGroup) plan() []Placement {
 	if !slices.ContainsFunc(group.engines, func(engine *PlacedEngine) bool { return engine.count() > 0 }) {
-		return group.layOut(group.engines)
+		group.layOut()
 	}
 	for _, gap := range group.gaps() {
-		if !group.fill(gap) {
-			return group.layOut(group.engines)
+		if !group.fill(gap) && !slices.ContainsFunc(group.engines, func(engine *PlacedEngine) bool { return engine.Busy }) {
+			group.layOut()
+			break
 		}
 	}
-	group.support()
+	group.double()
 	return group.plans
 }
 
-// layOut divides the layers among the engines by their memory, in their order,
-// so that all have KV memory for about the same number of tokens.
-func (group *placementGroup) layOut(engines []*PlacedEngine) []Placement {
-	counts := group.shares(engines)
-	if counts == nil {
-		return nil
+// layOut gives the layers to the fastest engines, as many as fit on each.
+func (group *placementGroup) layOut() {
+	if group.capacity() < group.model.Layers {
+		return // nothing would serve
 	}
-	var plan []Placement
 	first := 0
-	for i, engine := range engines {
-		layers := dragonflyhatch.LayerRange{First: first, End: first + counts[i]}
+	for _, engine := range group.engines {
+		count := min(group.room(engine, weightShare), group.model.Layers-first)
+		if count == 0 {
+			continue
+		}
+		layers := dragonflyhatch.LayerRange{First: first, End: first + count}
 		first = layers.End
-		if counts[i] > 0 && layers != engine.Layers && !engine.Busy {
-			plan = append(plan, Placement{engine.Replica, layers})
+		if layers != engine.Layers {
+			group.place(engine, layers)
 		}
 	}
-	return plan
 }
 
-// shares returns how many layers each engine is to hold, by largest remainder,
-// or nil if the engines cannot hold all.
-func (group *placementGroup) shares(engines []*PlacedEngine) []int {
-	total := 0.0
-	for _, engine := range engines {
-		total += engine.memory(group.model)
-	}
-	counts := make([]int, len(engines))
-	remainders := make([]float64, len(engines))
-	left := group.model.Layers
-	for i, engine := range engines {
-		exact := float64(group.model.Layers) * engine.memory(group.model) / total
-		counts[i] = min(int(exact), engine.capacity(group.model))
-		remainders[i] = exact - float64(counts[i])
-		left -= counts[i]
-	}
-	for left > 0 {
-		best := -1
-		for i, engine := range engines {
-			if counts[i] < engine.capacity(group.model) && (best < 0 || remainders[i] > remainders[best]) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return nil
+// holders returns for each layer how many engines hold it.
+func (group *placementGroup) holders() []int {
+	holders := make([]int, group.model.Layers)
+	for _, engine := range group.engines {
+		for layer := engine.Layers.First; layer < min(engine.Layers.End, len(holders)); layer++ {
+			holders[layer]++
 		}
-		counts[best]++
-		remainders[best]--
-		left--
 	}
-	return counts
+	return holders
 }
 
 // gaps returns the ranges that no engine of the group holds.
 func (group *placementGroup) gaps() []dragonflyhatch.LayerRange {
-	held := make([]bool, group.model.Layers)
-	for _, engine := range group.engines {
-		for layer := engine.Layers.First; layer < min(engine.Layers.End, len(held)); layer++ {
-			held[layer] = true
-		}
-	}
-	var gaps []dragonflyhatch.LayerRange
-	for layer := 0; layer < len(held); layer++ {
-		if held[layer] {
+	return runs(group.holders(), 0)
+}
+
+// runs returns the ranges of layers that so many engines hold.
+func runs(holders []int, count int) []dragonflyhatch.LayerRange {
+	var found []dragonflyhatch.LayerRange
+	for layer := 0; layer < len(holders); layer++ {
+		if holders[layer] != count {
 			continue
 		}
-		gap := dragonflyhatch.LayerRange{First: layer}
-		for layer < len(held) && !held[layer] {
+		run := dragonflyhatch.LayerRange{First: layer}
+		for layer < len(holders) && holders[layer] == count {
 			layer++
 		}
-		gap.End = layer
-		gaps = append(gaps, gap)
+		run.End = layer
+		found = append(found, run)
 	}
-	return gaps
+	return found
 }
 
-// fill has the gap held: by idle engines, and for the rest by the engines that
-// hold the layers before and after. It returns false if these have no room.
+// fill has the gap held by engines that nobody would miss where they are, and
+// else by the engines that hold the layers before and after. It returns false if
+// these have no room.
 func (group *placementGroup) fill(gap dragonflyhatch.LayerRange) bool {
 	for gap.First < gap.End {
-		idle := group.idle()
-		if idle == nil {
-			break
-		}
-		count := min(idle.capacity(group.model), gap.End-gap.First)
-		if count == 0 {
-			break
+		spare := group.spare(gap.End - gap.First)
+		if spare == nil {
+			return group.extend(gap)
 		}
-		group.place(idle, dragonflyhatch.LayerRange{First: gap.First, End: gap.First + count})
+		count := min(group.room(spare, weightShare), gap.End-gap.First)
+		group.place(spare, dragonflyhatch.LayerRange{First: gap.First, End: gap.First + count})
 		gap.First += count
 	}
-	if gap.First == gap.End {
-		return true
+	return true
+}
+
+// spare returns an engine without an order that holds nothing, or only what
+// faster engines hold too; nil if there is none. Requests pass by such engines,
+// so that they need not wait to give up their layers. It prefers one that holds
+// nothing, then the smallest that takes the wanted layers, then the largest.
+func (group *placementGroup) spare(wanted int) *PlacedEngine {
+	held := make([]bool, group.model.Layers) // by engines that are faster
+	var best *PlacedEngine
+	better := func(a, b *PlacedEngine) bool {
+		roomA, roomB := min(group.room(a, weightShare), wanted), min(group.room(b, weightShare), wanted)
+		return cmp.Or(
+			cmp.Compare(min(a.count(), 1), min(b.count(), 1)),
+			cmp.Compare(roomB, roomA),
+			cmp.Compare(group.memory(a), group.memory(b)),
+		) < 0
 	}
+	for _, engine := range group.engines {
+		if needed := cover(held, engine.Layers); needed || engine.Busy || group.room(engine, weightShare) == 0 {
+			continue
+		}
+		if best == nil || better(engine, best) {
+			best = engine
+		}
+	}
+	return best
+}
+
+// cover marks the layers as held and says whether one of them was not.
+func cover(held []bool, layers dragonflyhatch.LayerRange) bool {
+	needed := false
+	for layer := layers.First; layer < min(layers.End, len(held)); layer++ {
+		needed = needed || !held[layer]
+		held[layer] = true
+	}
+	return needed
+}
+
+// extend has the gap held by the engines with the layers before and after, which
+// keep what they hold. It returns false if they have no room.
+func (group *placementGroup) extend(gap dragonflyhatch.LayerRange) bool {
 	before, after := group.neighbours(gap)
-	roomBefore, roomAfter := group.room(before), group.room(after)
+	roomBefore, roomAfter := group.left(before), group.left(after)
 	size := gap.End - gap.First
 	if roomBefore+roomAfter < size {
-		// Engines that are carrying out an order may have room when it is done.
-		return before != nil && before.Busy || after != nil && after.Busy
+		return false
 	}
 	fromBefore := int(math.Round(float64(size) * float64(roomBefore) / float64(roomBefore+roomAfter)))
-	fromBefore = max(fromBefore, size-roomAfter)
+	fromBefore = min(max(fromBefore, size-roomAfter), roomBefore)
 	if fromBefore > 0 {
 		group.place(before, dragonflyhatch.LayerRange{First: before.Layers.First, End: gap.First + fromBefore})
 	}
@@ -233,20 +258,6 @@
 	return true
 }
 
-// idle returns the largest engine that holds nothing and has no order, or nil.
-func (group *placementGroup) idle() *PlacedEngine {
-	var largest *PlacedEngine
-	for _, engine := range group.engines {
-		if engine.count() > 0 || engine.Busy || engine.capacity(group.model) == 0 {
-			continue
-		}
-		if largest == nil || engine.memory(group.model) > largest.memory(group.model) {
-			largest = engine
-		}
-	}
-	return largest
-}
-
 // neighbours returns the engines with most room whose layers end where the gap
 // begins, and begin where it ends.
 func (group *placementGroup) neighbours(gap dragonflyhatch.LayerRange) (before, after *PlacedEngine) {
@@ -254,63 +265,39 @@
 		if engine.count() == 0 {
 			continue
 		}
-		if engine.Layers.End == gap.First && group.room(engine) >= group.room(before) {
+		if engine.Layers.End == gap.First && group.left(engine) >= group.left(before) {
 			before = engine
 		}
-		if engine.Layers.First == gap.End && group.room(engine) >= group.room(after) {
+		if engine.Layers.First == gap.End && group.left(engine) >= group.left(after) {
 			after = engine
 		}
 	}
 	return before, after
 }
 
-// room returns how many more layers the engine may be ordered to hold now.
-func (group *placementGroup) room(engine *PlacedEngine) int {
+// left returns how many more layers the engine may be ordered to hold now.
+func (group *placementGroup) left(engine *PlacedEngine) int {
 	if engine == nil || engine.Busy {
 		return 0
 	}
-	return max(engine.capacity(group.model)-engine.count(), 0)
-}
-
-// support gives each idle engine layers of the engine that has least KV memory
-// for each of its own, so that requests can pass by that one.
-func (group *placementGroup) support() {
-	for {
-		idle := group.idle()
-		weakest := group.weakest()
-		if idle == nil || weakest == nil {
-			return
-		}
-		count := min(idle.capacity(group.model)/2, weakest.count())
-		if count == 0 {
-			return
-		}
-		group.place(idle, dragonflyhatch.LayerRange{First: weakest.Layers.First, End: weakest.Layers.First + count})
-	}
+	return max(group.room(engine, standInShare)-engine.count(), 0)
 }
 
-// weakest returns the engine with the least KV memory a layer, of those whose
-// layers nobody else holds too.
-func (group *placementGroup) weakest() *PlacedEngine {
-	var weakest *PlacedEngine
-	least := math.Inf(1)
+// double has the engines that hold nothing hold layers that only one other
+// holds, from the last layer down: the slowest engines of the chain have those.
+func (group *placementGroup) double() {
 	for _, engine := range group.engines {
-		if engine.count() == 0 || group.isShared(engine) {
+		room := group.room(engine, weightShare)
+		if engine.count() > 0 || engine.Busy || room == 0 {
 			continue
 		}
-		free := engine.memory(group.model) - float64(engine.count())*group.model.LayerMB
-		if perLayer := free / float64(engine.count()); perLayer < least {
-			weakest, least = engine, perLayer
+		single := runs(group.holders(), 1)
+		if len(single) == 0 {
+			return
 		}
+		last := single[len(single)-1]
+		group.place(engine, dragonflyhatch.LayerRange{First: max(last.First, last.End-room), End: last.End})
 	}
-	return weakest
-}
-
-// isShared says whether another engine holds the engine's first layer too.
-func (group *placementGroup) isShared(engine *PlacedEngine) bool {
-	return slices.ContainsFunc(group.engines, func(other *PlacedEngine) bool {
-		return other != engine && other.Layers.First <= engine.Layers.First && engine.Layers.First < other.Layers.End
-	})
 }
 
 // place adds an order to the plan and takes it for carried out.
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -17,6 +17,7 @@
 	Exclude []string // addresses that have failed this request
 	Daemons int      // that send work to the same engines, 1 at least
 	Random  *rand.Rand
+	AnySite bool // no site is preferred: many requests look for a new pipeline at once
 }
 
 // Pipeline is a choice: stages that cover the layers once and in order.
@@ -46,14 +47,15 @@
 	crossingCost = 2
 	// stageCost is that of each further stage, in the same unit.
 	stageCost = 0.1
-	// siteSpread is the range of a random factor on the cost of other sites, so
-	// that the daemons that lose a pipeline at once do not all choose the same
-	// other one.
-	siteSpread = 0.8
-	// remoteCost weighs a pipeline in another site than the daemon's.
-	remoteCost = 0.5
-	// fillWeight weighs the share of an engine's KV memory that is in use.
-	fillWeight = 2
+	// readWeight weighs the time for the prompt against that for the answer.
+	readWeight = 0.3
+	// remoteFill is by how much more of a pipeline's KV memory must be in use in
+	// this daemon's site for a request to go to another one.
+	remoteFill = 0.4
+	// siteSpread is the range of a random share that is added to the KV memory in
+	// use, so that the daemons that lose a pipeline at once do not all choose the
+	// same other one.
+	siteSpread = 0.3
 )
 
 // Pipeline returns a pipeline for the request, or a Failure of
@@ -78,21 +80,25 @@
 func (set *engineSet) choose(query Query, usable func(*Node) bool) *Pipeline {
 	for _, version := range set.versions {
 		var best *cover
+		bestFill := math.Inf(1)
 		for _, site := range set.sites {
-			found := set.cover(set.bySite[site], version, query, usable)
+			found := set.cover(set.bySite[site], version, usable)
 			if found == nil {
 				continue
 			}
-			if site != query.Site {
-				found.cost += remoteCost
-				found.cost *= 1 + siteSpread*query.Random.Float64()
+			fill := set.fill(found, query.Daemons)
+			if site != query.Site && !query.AnySite {
+				fill += remoteFill
 			}
-			if best == nil || found.cost < best.cost {
-				best = found
+			if site != query.Site || query.AnySite {
+				fill += siteSpread * query.Random.Float64()
+			}
+			if fill < bestFill {
+				best, bestFill = found, fill
 			}
 		}
 		if best == nil {
-			best = set.cover(set.all, version, query, usable)
+			best = set.cover(set.all, version, usable)
 		}
 		if best != nil {
 			return best.pipeline(query.Tokens)
@@ -132,7 +138,7 @@
 
 // cover finds the cheapest cover of the layers by the nodes, by dynamic
 // programming over layer boundaries. It returns nil if there is none.
-func (set *engineSet) cover(nodes []*Node, version int, query Query, usable func(*Node) bool) *cover {
+func (set *engineSet) cover(nodes []*Node, version int, usable func(*Node) bool) *cover {
 	layers := set.model.Layers
 	var spans []span
 	boundary := make([]bool, layers+1)
@@ -143,7 +149,7 @@
 		}
 		one := span{node: node, LayerRange: node.Held.LayerRange}
 		one.End = min(one.End, layers)
-		one.perLayer = set.layerCost(node, query)
+		one.perLayer = set.layerCost(node)
 		spans = append(spans, one)
 		boundary[one.First], boundary[one.End] = true, true
 	}
@@ -214,19 +220,26 @@
 	return found
 }
 
-// layerCost is the cost of a layer at the node: its pace, raised as its KV
-// memory fills. The work of the other daemons is taken to be like this one's.
-func (set *engineSet) layerCost(node *Node, query Query) float64 {
-	pace := 1.0
-	accelerator, known := set.model.Accelerators[node.Accelerator]
-	if known && accelerator.Pace > 0 {
-		pace = accelerator.Pace
+// layerCost is the cost of a layer at the node.
+func (set *engineSet) layerCost(node *Node) float64 {
+	accelerator, ok := set.model.Accelerators[node.Accelerator]
+	if !ok || accelerator.Pace <= 0 {
+		return 1 / float64(set.model.Layers)
 	}
-	fill := 0.0
-	if room := KVRoom(set.model, accelerator, node.Held.LayerRange); room > 0 {
-		fill = float64(node.tokens.Load()) * float64(query.Daemons) / room
+	return (accelerator.Pace + readWeight*accelerator.ReadFactor) / float64(set.model.Layers)
+}
+
+// fill returns the share in use of the KV memory of the fullest stage. The work
+// of the other daemons is taken to be like this one's.
+func (set *engineSet) fill(cover *cover, daemons int) float64 {
+	fullest := 0.0
+	for _, stage := range cover.stages {
+		accelerator := set.model.Accelerators[stage.node.Accelerator]
+		if room := KVRoom(set.model, accelerator, stage.node.Held.LayerRange); room > 0 {
+			fullest = max(fullest, float64(stage.node.tokens.Load())*float64(daemons)/room)
+		}
 	}
-	return pace / float64(set.model.Layers) * (1 + fillWeight*fill)
+	return fullest
 }
 
 // KVRoom returns for how many tokens an engine of the accelerator that holds the
