Engines that turn slow are passed by; one daemon's belief moves no layers

Now three daemons must fail to reach an engine, a round of probes in which many are silent proves nothing, and stand-ins are relieved. Engines of a silent pipeline are asked for their pace.

--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -39,6 +39,7 @@
 	logger  *slog.Logger
 	meters  *meters
 	prober  *prober
+	engines dragonflyhatch.EngineControl // nil if engines are not asked for their pace
 
 	mu      sync.Mutex
 	budgets map[string]*hatchretry.SharedBudget // by service
@@ -62,6 +63,11 @@
 	return func(forwarder *Forwarder) { forwarder.terms = terms }
 }
 
+// WithEngines has slow engines asked for their pace.
+func WithEngines(engines dragonflyhatch.EngineControl) Option {
+	return func(forwarder *Forwarder) { forwarder.engines = engines }
+}
+
 // New returns a forwarder.
 func New(fleet Fleet, dialect dragonflyhatch.Dialect, options ...Option) *Forwarder {
 	forwarder := &Forwarder{
--- /dev/null
+++ b/hatchforward/pace.go
@@ -0,0 +1,35 @@
+package hatchforward
+
+import (
+	"context"
+	"time"
+
+	"dragonflyhatch/hatchpath"
+)
+
+// slowPace is a pace that is worth a line in the log.
+const slowPace = 2
+
+// askPace asks engines whether they have turned slow, so that new requests go
+// elsewhere.
+func (forwarder *Forwarder) askPace(nodes []*hatchpath.Node) {
+	if forwarder.engines == nil {
+		return
+	}
+	for _, node := range nodes {
+		if node.Accelerator == "" || !node.TakeAsk(time.Now()) {
+			continue
+		}
+		go func() {
+			report, err := forwarder.engines.Report(context.Background(), node.Address)
+			if err != nil {
+				forwarder.logger.Info("engine did not report", "address", node.Address, "error", err)
+				return
+			}
+			node.Paced(time.Now(), report.Pace)
+			if report.Pace >= slowPace {
+				forwarder.logger.Warn("engine is slow", "address", node.Address, "pace", report.Pace)
+			}
+		}()
+	}
+}
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"dragonflyhatch/hatchpath"
@@ -69,27 +71,30 @@
 	}
 }
 
-// alive says whether the replica accepts connections.
-func alive(ctx context.Context, node *hatchpath.Node) bool {
+// probeOutcome is what a probe has shown.
+type probeOutcome int
+
+const (
+	probeAnswered probeOutcome = iota
+	probeRefused               // the address accepts no connections
+	probeSilent                // nothing came back in time
+)
+
+// probe opens a connection to the replica.
+func probe(ctx context.Context, node *hatchpath.Node) probeOutcome {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	answers := make(chan bool, 2)
-	dial := func() {
-		conn, err := new(net.Dialer).DialContext(ctx, "tcp", node.Address)
-		if err == nil {
-			conn.Close()
-		}
-		answers <- err == nil
-	}
+	outcomes := make(chan probeOutcome, 2)
+	dial := func() { outcomes <- dialOnce(ctx, node.Address) }
 	go dial()
 	second := time.NewTimer(secondProbe)
 	defer second.Stop()
 	for dials := 1; ; {
 		select {
-		case answer := <-answers:
+		case outcome := <-outcomes:
 			dials--
-			if answer || dials == 0 {
-				return answer
+			if outcome != probeSilent || dials == 0 {
+				return outcome
 			}
 		case <-second.C:
 			dials++
@@ -98,40 +103,67 @@
 	}
 }
 
+func dialOnce(ctx context.Context, address string) probeOutcome {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		conn.Close()
+		return probeAnswered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return probeRefused
+	}
+	return probeSilent
+}
+
 // check probes the nodes that have not shown lately that they are alive, and
-// returns the addresses of those that do not answer.
+// returns the addresses of those that are dead.
 func (prober *prober) check(ctx context.Context, nodes []*hatchpath.Node) []string {
-	dead := make([]bool, len(nodes))
-	var group conc.WaitGroup
-	for i, node := range nodes {
+	var culprits []string
+	var probed []*hatchpath.Node
+	for _, node := range nodes {
 		now := time.Now()
-		if node.DownFor(now) > 0 {
-			dead[i] = true // another stream has found it
-			continue
-		}
-		if node.SinceReached(now) < probeAge || !node.TakeProbe(now) {
-			continue
+		switch {
+		case node.DownFor(now) > 0: // another stream has found it
+			culprits = append(culprits, node.Address)
+		case node.SinceReached(now) >= probeAge && node.TakeProbe(now):
+			probed = append(probed, node)
 		}
-		group.Go(func() {
-			switch {
-			case alive(ctx, node):
-				node.Reached(time.Now())
-			case ctx.Err() == nil:
-				dead[i] = true
-				prober.unreachable(node)
-			}
-		})
+	}
+	outcomes := make([]probeOutcome, len(probed))
+	var group conc.WaitGroup
+	for i, node := range probed {
+		group.Go(func() { outcomes[i] = probe(ctx, node) })
 	}
 	group.Wait()
-	var culprits []string
-	for i, node := range nodes {
-		if dead[i] {
+	if ctx.Err() != nil {
+		return culprits
+	}
+	trusted := trustSilence(outcomes)
+	for i, node := range probed {
+		switch {
+		case outcomes[i] == probeAnswered:
+			node.Reached(time.Now())
+		case outcomes[i] == probeRefused || trusted:
 			culprits = append(culprits, node.Address)
+			prober.unreachable(node)
 		}
 	}
 	return culprits
 }
 
+// trustSilence says whether silence in a round of probes means that replicas are
+// dead. If many are silent at once, it is more likely this daemon or its link
+// that was held up.
+func trustSilence(outcomes []probeOutcome) bool {
+	silent := 0
+	for _, outcome := range outcomes {
+		if outcome == probeSilent {
+			silent++
+		}
+	}
+	return silent <= max(1, len(outcomes)/3)
+}
+
 // unreachable leaves the node out until it accepts connections again.
 func (prober *prober) unreachable(node *hatchpath.Node) {
 	if node.Unreachable(time.Now()) {
@@ -160,7 +192,7 @@
 		if known == nil || known.Health != node.Health {
 			return
 		}
-		if alive(context.Background(), node) {
+		if probe(context.Background(), node) == probeAnswered {
 			node.Reached(time.Now())
 			return
 		}
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -326,6 +326,9 @@
 	// nextCheck is the pause until the next check of a stream whose replicas are
 	// all alive.
 	nextCheck = 60 * time.Millisecond
+	// slowSilence is a silence after which the engines of the pipeline are asked
+	// whether they have turned slow: half of the usual limit.
+	slowSilence = 100 * time.Millisecond
 	// longestSilence ends an attempt though its replicas seem alive: callers
 	// give up after two seconds.
 	longestSilence = 1200 * time.Millisecond
@@ -445,6 +448,9 @@
 		watch.giveUp("silent for "+silent.Round(time.Millisecond).String(), nil)
 	case !watch.paused:
 		watch.timer.Reset(nextCheck)
+		if silent > slowSilence {
+			watch.stream.forwarder.askPace(watch.pipeline.Nodes)
+		}
 	}
 }
 
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -47,6 +47,7 @@
 	routing  snapshot
 	replicas replicaSet
 	lost     map[string]time.Time // addresses found unreachable, by when
+	reports  lossReports
 	leader   leadership
 }
 
@@ -86,6 +87,7 @@
 		hasTable: make(chan struct{}),
 		replicas: newReplicaSet(),
 		lost:     make(map[string]time.Time),
+		reports:  make(lossReports),
 	}
 	for _, option := range options {
 		option(gateway)
@@ -107,6 +109,7 @@
 		hatchforward.WithLogger(gateway.logger),
 		hatchforward.WithSite(settings.Site),
 		hatchforward.WithMetrics(registry),
+		hatchforward.WithEngines(gateway.engines),
 		hatchforward.WithRetryTerms(hatchretry.SharedTerms{
 			Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow,
 		}))
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -131,6 +132,9 @@
 	}
 	toCall := gateway.roster.Warned(gossip.Suspects, now)
 	gateway.heardLeader(gossip.Leader, gossip.Term)
+	for _, address := range gossip.LostReplicas {
+		gateway.reports.add(address, gossip.From.Host, now)
+	}
 	gateway.countDaemons()
 	gateway.mu.Unlock()
 
@@ -158,11 +162,15 @@
 // learnt and others may not hear from the store.
 const toldOfNews = 3
 
-// tellNews exchanges gossip with some random peers at once.
+// tellNews exchanges gossip with the leader and some random peers at once.
 func (gateway *Gateway) tellNews() {
 	gateway.mu.Lock()
 	peers := gateway.roster.Peers(gateway.random)
+	leader := gateway.leader.host
 	gateway.mu.Unlock()
+	if at := slices.IndexFunc(peers, func(peer dragonflyhatch.Member) bool { return peer.Host == leader }); at > 0 {
+		peers[0], peers[at] = peers[at], peers[0]
+	}
 	for _, peer := range peers[:min(len(peers), toldOfNews)] {
 		go func() { _ = gateway.exchange(context.Background(), peer.PeerAddress) }() // the next exchange tells it again
 	}
--- a/hatchgateway/placer.go
+++ b/hatchgateway/placer.go
@@ -19,7 +19,7 @@
 	settleLimit = 6 * time.Second
 	// lostAfter is how long an engine must be unreachable before its layers are
 	// placed elsewhere.
-	lostAfter = 400 * time.Millisecond
+	lostAfter = 200 * time.Millisecond
 	// orderPatience is added to the time that an order should take before the
 	// engine is asked what became of it.
 	orderPatience = 1500 * time.Millisecond
@@ -118,7 +118,7 @@
 		if replica.Service != service.Name || replica.Leaving {
 			continue
 		}
-		if placer.gateway.healths.Of(replica).DownFor(now) > lostAfter {
+		if placer.gateway.isLost(replica.Address, placer.gateway.healths.Of(replica), now) {
 			continue
 		}
 		engine := hatchorder.PlacedEngine{Replica: replica, Layers: replica.Held.LayerRange}
--- a/hatchorder/placement.go
+++ b/hatchorder/placement.go
@@ -10,9 +10,10 @@
 
 const (
 	// weightShare is the share of an engine's memory that layers take when they
-	// are laid out. The rest is KV memory: at the usual size of a layer and of a
-	// token's cache in it, for about 70,000 tokens.
-	weightShare = 0.77
+	// are laid out. The rest is KV memory, for about 110,000 tokens of a model of
+	// 1,750 MB and 7.4 kB a token in a layer: a site must carry half of another's
+	// requests besides its own.
+	weightShare = 0.69
 	// standInShare is the same for an engine that stands in for a lost one.
 	standInShare = 0.9
 )
@@ -130,6 +131,7 @@
 			break
 		}
 	}
+	group.relieve()
 	group.double()
 	return group.plans
 }
@@ -190,23 +192,44 @@
 // else by the engines that hold the layers before and after. It returns false if
 // these have no room.
 func (group *placementGroup) fill(gap dragonflyhatch.LayerRange) bool {
-	for gap.First < gap.End {
-		spare := group.spare(gap.End - gap.First)
-		if spare == nil {
-			return group.extend(gap)
-		}
-		count := min(group.room(spare, weightShare), gap.End-gap.First)
+	spares := group.sparesFor(gap.End - gap.First)
+	// Each takes its part of what is left, so that all are done at about the same
+	// time.
+	for i, spare := range spares {
+		left := gap.End - gap.First
+		share := (left + len(spares) - i - 1) / (len(spares) - i)
+		count := min(group.room(spare, weightShare), share)
 		group.place(spare, dragonflyhatch.LayerRange{First: gap.First, End: gap.First + count})
 		gap.First += count
 	}
-	return true
+	return gap.First == gap.End || group.extend(gap)
+}
+
+// sparesFor returns as many spares as are needed to hold so many layers, or all
+// there are; the smallest come first, so that larger ones can take what these
+// leave.
+func (group *placementGroup) sparesFor(layers int) []*PlacedEngine {
+	var spares []*PlacedEngine
+	for layers > 0 {
+		spare := group.spare(layers, spares)
+		if spare == nil {
+			break
+		}
+		spares = append(spares, spare)
+		layers -= group.room(spare, weightShare)
+	}
+	slices.SortStableFunc(spares, func(a, b *PlacedEngine) int {
+		return cmp.Compare(group.room(a, weightShare), group.room(b, weightShare))
+	})
+	return spares
 }
 
 // spare returns an engine without an order that holds nothing, or only what
 // faster engines hold too; nil if there is none. Requests pass by such engines,
 // so that they need not wait to give up their layers. It prefers one that holds
-// nothing, then the smallest that takes the wanted layers, then the largest.
-func (group *placementGroup) spare(wanted int) *PlacedEngine {
+// nothing, then the smallest that takes the wanted layers, then the largest. The
+// taken ones are passed over.
+func (group *placementGroup) spare(wanted int, taken []*PlacedEngine) *PlacedEngine {
 	held := make([]bool, group.model.Layers) // by engines that are faster
 	var best *PlacedEngine
 	better := func(a, b *PlacedEngine) bool {
@@ -218,7 +241,7 @@
 		) < 0
 	}
 	for _, engine := range group.engines {
-		if needed := cover(held, engine.Layers); needed || engine.Busy || group.room(engine, weightShare) == 0 {
+		if needed := cover(held, engine.Layers); needed || engine.Busy || slices.Contains(taken, engine) || group.room(engine, weightShare) == 0 {
 			continue
 		}
 		if best == nil || better(engine, best) {
@@ -283,6 +306,34 @@
 	return max(group.room(engine, standInShare)-engine.count(), 0)
 }
 
+// relieve gives KV memory back to engines that stand in for others: layers at
+// the ends of their ranges that others hold too are given up, and for those that
+// no one else holds a spare is sought.
+func (group *placementGroup) relieve() {
+	for _, engine := range group.engines {
+		excess := engine.count() - group.room(engine, weightShare)
+		if engine.Busy || excess <= 0 {
+			continue
+		}
+		holders := group.holders()
+		trimmed := engine.Layers
+		for ; excess > 0 && holders[trimmed.End-1] > 1; excess-- {
+			trimmed.End--
+		}
+		for ; excess > 0 && holders[trimmed.First] > 1; excess-- {
+			trimmed.First++
+		}
+		if trimmed != engine.Layers {
+			group.place(engine, trimmed)
+			continue
+		}
+		if spare := group.spare(excess, nil); spare != nil {
+			count := min(group.room(spare, weightShare), excess)
+			group.place(spare, dragonflyhatch.LayerRange{First: trimmed.End - count, End: trimmed.End})
+		}
+	}
+}
+
 // double has the engines that hold nothing hold layers that only one other
 // holds, from the last layer down: the slowest engines of the chain have those.
 func (group *placementGroup) double() {
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -39,11 +39,48 @@
 	downSince atomic.Int64 // ticks, 0 unless the replica is down
 	nextProbe atomic.Int64 // ticks before which there is no further probe
 	probeGap  atomic.Int64 // nanoseconds, grows with each probe in vain
+	pace      atomic.Pointer[timedPace]
+	nextAsk   atomic.Int64 // ticks before which the replica is not asked for its pace
 	latency   average      // seconds
 	failures  average      // share of answers that are failures
 	load      atomic.Pointer[timedLoad]
 }
 
+// timedPace is what an engine said of its pace, against its accelerator's own.
+type timedPace struct {
+	pace float64
+	at   time.Time
+}
+
+const (
+	// paceAge is how long an engine's word on its pace counts.
+	paceAge = 4 * time.Second
+	// askGap is the pause between two questions to one engine.
+	askGap = 2 * time.Second
+)
+
+// Paced notes what an engine says of its pace; 1 is its accelerator's own.
+func (health *Health) Paced(now time.Time, pace float64) {
+	health.pace.Store(&timedPace{pace, now})
+}
+
+// Pace returns by what factor the engine is slower than its accelerator, 1 if
+// that is not known.
+func (health *Health) Pace(now time.Time) float64 {
+	known := health.pace.Load()
+	if known == nil || now.Sub(known.at) > paceAge {
+		return 1
+	}
+	return max(known.pace, 1)
+}
+
+// TakeAsk says whether the engine may be asked for its pace now; it returns true
+// to one caller at a time.
+func (health *Health) TakeAsk(now time.Time) bool {
+	next := health.nextAsk.Load()
+	return ticks(now) >= next && health.nextAsk.CompareAndSwap(next, ticks(now.Add(askGap)))
+}
+
 type timedLoad struct {
 	dragonflyhatch.ServiceLoad
 	at time.Time
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -52,6 +52,12 @@
 	// remoteFill is by how much more of a pipeline's KV memory must be in use in
 	// this daemon's site for a request to go to another one.
 	remoteFill = 0.4
+	// mixedFill is the same for a pipeline over several sites, whose links must
+	// carry each token's activations.
+	mixedFill = 1.5
+	// slowWeight weighs by how much longer than usual a pipeline takes because of
+	// engines that have turned slow, against KV memory in use.
+	slowWeight = 0.5
 	// siteSpread is the range of a random share that is added to the KV memory in
 	// use, so that the daemons that lose a pipeline at once do not all choose the
 	// same other one.
@@ -70,23 +76,25 @@
 		usable := func(node *Node) bool {
 			return !node.Down(now) && !(avoidFull && node.IsFull(now)) && !slices.Contains(query.Exclude, node.Address)
 		}
-		if pipeline := set.choose(query, usable); pipeline != nil {
+		if pipeline := set.choose(now, query, usable); pipeline != nil {
 			return pipeline, nil
 		}
 	}
 	return nil, dragonflyhatch.Fail(dragonflyhatch.KindUpstreamUnavailable, "no usable engines of %s cover all layers", query.Service)
 }
 
-func (set *engineSet) choose(query Query, usable func(*Node) bool) *Pipeline {
+func (set *engineSet) choose(now time.Time, query Query, usable func(*Node) bool) *Pipeline {
 	for _, version := range set.versions {
 		var best *cover
 		bestFill := math.Inf(1)
+		local := false // the daemon's own site has a pipeline
 		for _, site := range set.sites {
-			found := set.cover(set.bySite[site], version, usable)
+			found := set.cover(now, set.bySite[site], version, usable)
 			if found == nil {
 				continue
 			}
-			fill := set.fill(found, query.Daemons)
+			local = local || site == query.Site
+			fill := set.fill(found, query.Daemons) + slowWeight*found.slowness(now)
 			if site != query.Site && !query.AnySite {
 				fill += remoteFill
 			}
@@ -97,8 +105,10 @@
 				best, bestFill = found, fill
 			}
 		}
-		if best == nil {
-			best = set.cover(set.all, version, usable)
+		if !local {
+			if found := set.cover(now, set.all, version, usable); found != nil && set.fill(found, query.Daemons)+mixedFill < bestFill {
+				best = found
+			}
 		}
 		if best != nil {
 			return best.pipeline(query.Tokens)
@@ -116,6 +126,7 @@
 type coverStage struct {
 	node   *Node
 	layers dragonflyhatch.LayerRange
+	cost   float64
 }
 
 func (cover *cover) pipeline(tokens int) *Pipeline {
@@ -129,6 +140,18 @@
 	return pipeline
 }
 
+// slowness returns by how much longer than usual the pipeline takes because of
+// engines that have turned slow, as a share of the usual time, 0 if none has.
+func (cover *cover) slowness(now time.Time) float64 {
+	usual, extra := 0.0, 0.0
+	for _, stage := range cover.stages {
+		pace := stage.node.Pace(now)
+		usual += stage.cost / pace
+		extra += stage.cost * (1 - 1/pace)
+	}
+	return extra / usual
+}
+
 // step is the cheapest way known to a layer boundary.
 type step struct {
 	cost float64
@@ -138,7 +161,7 @@
 
 // cover finds the cheapest cover of the layers by the nodes, by dynamic
 // programming over layer boundaries. It returns nil if there is none.
-func (set *engineSet) cover(nodes []*Node, version int, usable func(*Node) bool) *cover {
+func (set *engineSet) cover(now time.Time, nodes []*Node, version int, usable func(*Node) bool) *cover {
 	layers := set.model.Layers
 	var spans []span
 	boundary := make([]bool, layers+1)
@@ -149,7 +172,7 @@
 		}
 		one := span{node: node, LayerRange: node.Held.LayerRange}
 		one.End = min(one.End, layers)
-		one.perLayer = set.layerCost(node)
+		one.perLayer = set.layerCost(node) * node.Pace(now)
 		spans = append(spans, one)
 		boundary[one.First], boundary[one.End] = true, true
 	}
@@ -213,7 +236,9 @@
 	found := &cover{cost: steps[layers].cost}
 	for at := layers; at > 0; at = steps[at].from {
 		found.stages = append(found.stages, coverStage{
-			node: steps[at].node, layers: dragonflyhatch.LayerRange{First: steps[at].from, End: at},
+			node:   steps[at].node,
+			layers: dragonflyhatch.LayerRange{First: steps[at].from, End: at},
+			cost:   steps[at].cost - steps[steps[at].from].cost,
 		})
 	}
 	slices.Reverse(found.stages)
