--- /dev/null
+++ b/hatchforward/events_test.go
@@ -0,0 +1,49 @@
+package hatchforward
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestEventSplitter(t *testing.T) {
+	convey.Convey("Only whole events come out, with the id of the last", t, func() {
+		var splitter eventSplitter
+		events, id := splitter.add([]byte("id: 1\ndata: a\n\nid: 2\nda"))
+		convey.So(string(events), convey.ShouldEqual, "id: 1\ndata: a\n\n")
+		convey.So(id, convey.ShouldEqual, "1")
+		convey.So(string(splitter.rest()), convey.ShouldEqual, "id: 2\nda")
+		events, id = splitter.add([]byte("ta: b\r\n\r\n"))
+		convey.So(string(events), convey.ShouldEqual, "id: 2\ndata: b\r\n\r\n")
+		convey.So(id, convey.ShouldEqual, "2")
+		events, id = splitter.add([]byte("weight-versions: 3\nid:7\ndata: c\n\n"))
+		convey.So(id, convey.ShouldEqual, "7")
+		convey.So(events, convey.ShouldNotBeEmpty)
+		convey.So(splitter.rest(), convey.ShouldBeEmpty)
+	})
+	convey.Convey("However a stream is cut up, its bytes come out once and in order", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			var stream strings.Builder
+			for range rapid.IntRange(0, 8).Draw(t, "events") {
+				stream.WriteString("id: 5\ndata: " + rapid.StringMatching(`[a-z]{0,9}`).Draw(t, "data") + "\n\n")
+			}
+			stream.WriteString(rapid.SampledFrom([]string{"", "id: 6\ndata"}).Draw(t, "rest"))
+			var splitter eventSplitter
+			var out strings.Builder
+			for text := stream.String(); text != ""; {
+				count := rapid.IntRange(1, len(text)).Draw(t, "piece")
+				events, _ := splitter.add([]byte(text[:count]))
+				out.Write(events)
+				if out.Len() > 0 && !strings.HasSuffix(out.String(), "\n\n") {
+					t.Fatalf("an event came out in parts: %q", out.String())
+				}
+				text = text[count:]
+			}
+			if got := out.String() + string(splitter.rest()); got != stream.String() {
+				t.Fatalf("%q became %q", stream.String(), got)
+			}
+		})
+	})
+}
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -32,14 +32,15 @@
 
 // Forwarder serves callers' requests.
 type Forwarder struct {
-	fleet   Fleet
-	dialect dragonflyhatch.Dialect
-	site    string
-	terms   hatchretry.SharedTerms
-	logger  *slog.Logger
-	meters  *meters
-	prober  *prober
-	engines dragonflyhatch.EngineControl // nil if engines are not asked for their pace
+	fleet    Fleet
+	dialect  dragonflyhatch.Dialect
+	site     string
+	terms    hatchretry.SharedTerms
+	logger   *slog.Logger
+	meters   *meters
+	prober   *prober
+	pathWait time.Duration
+	engines  dragonflyhatch.EngineControl // nil if engines are not asked for their pace
 
 	mu      sync.Mutex
 	budgets map[string]*hatchretry.SharedBudget // by service
@@ -68,14 +69,20 @@
 	return func(forwarder *Forwarder) { forwarder.engines = engines }
 }
 
+// WithPathWait sets how long a request waits for a pipeline.
+func WithPathWait(wait time.Duration) Option {
+	return func(forwarder *Forwarder) { forwarder.pathWait = wait }
+}
+
 // New returns a forwarder.
 func New(fleet Fleet, dialect dragonflyhatch.Dialect, options ...Option) *Forwarder {
 	forwarder := &Forwarder{
-		fleet:   fleet,
-		dialect: dialect,
-		terms:   hatchretry.SharedTerms{Ratio: 0.1, Window: 10 * time.Second},
-		logger:  slog.Default(),
-		budgets: make(map[string]*hatchretry.SharedBudget),
+		fleet:    fleet,
+		dialect:  dialect,
+		terms:    hatchretry.SharedTerms{Ratio: 0.1, Window: 10 * time.Second},
+		logger:   slog.Default(),
+		budgets:  make(map[string]*hatchretry.SharedBudget),
+		pathWait: defaultPathWait,
 	}
 	for _, option := range options {
 		option(forwarder)
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"dragonflyhatch"
@@ -27,12 +28,14 @@
 	defer cancel()
 	results := make(chan plainResult, maxPlainAttempts)
 	running := 0
+	var tried []string
 	start := func() error {
-		node, err := call.chooseService()
+		node, err := call.chooseService(tried...)
 		if err != nil {
 			return err
 		}
 		running++
+		tried = append(tried, node.Address)
 		go func() { results <- call.sendPlain(ctx, node) }()
 		return nil
 	}
@@ -89,8 +92,17 @@
 	return timer
 }
 
-func (call *call) chooseService() (*hatchpath.Node, error) {
-	return call.forwarder.fleet.View().Service(time.Now(), call.query())
+// chooseService returns a replica of a plain service that has not failed the
+// request, and none of those tried unless there is no other.
+func (call *call) chooseService(tried ...string) (*hatchpath.Node, error) {
+	now, view, query := time.Now(), call.forwarder.fleet.View(), call.query()
+	failed := query.Exclude
+	query.Exclude = slices.Concat(failed, tried)
+	if node, err := view.Service(now, query); err == nil {
+		return node, nil
+	}
+	query.Exclude = failed
+	return view.Service(now, query)
 }
 
 // sharedRandom draws from the process's generator, which may be used by several
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// pathWait is how long a request waits for a pipeline while lost layers are
-	// loaded again. Callers give up a silent stream after two seconds.
-	pathWait = 1500 * time.Millisecond
+	// defaultPathWait is how long a request waits for a pipeline while lost
+	// layers are loaded again. Callers give up a silent stream after two seconds.
+	defaultPathWait = 1500 * time.Millisecond
 	// pathPoll is the pause between looks for a pipeline.
 	pathPoll = 25 * time.Millisecond
 	// streamBuffer is what is read of a stream at a time, in bytes.
@@ -70,7 +70,7 @@
 
 // choose returns a pipeline, and waits a while for one.
 func (stream *stream) choose() (*hatchpath.Pipeline, error) {
-	giveUp := time.Now().Add(pathWait)
+	giveUp := time.Now().Add(stream.forwarder.pathWait)
 	for {
 		pipeline, err := stream.choosePath()
 		if err == nil || time.Now().After(giveUp) {
--- /dev/null
+++ b/hatchforward/stream_test.go
@@ -0,0 +1,176 @@
+package hatchforward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+const streamEvents = 12
+
+// ending is how a fake engine ends a stream.
+type ending int
+
+const (
+	ends       ending = iota // whole
+	breaksOff                // inside an event
+	resetsOff                // between two events
+	closesShut               // as if it were whole, inside an event
+	goesSilent
+	refusesRoom
+)
+
+// streams makes the replica stream events from where the caller is to the end,
+// or to the event before which it misbehaves.
+func (replica *fakeReplica) streams(how ending, before int) {
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	replica.stream = func(conn net.Conn, request *http.Request) {
+		if how == refusesRoom {
+			io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAt-Server: "+replica.address()+"\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		id := request.Header.Get("Attempt-Id")
+		replica.mu.Lock()
+		replica.runs[id]++
+		replica.mu.Unlock()
+		from, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+		if err != nil {
+			from = 0 // a stream from its beginning
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nServer-Seal: seal-%s\r\nAttempt-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", replica.id, id)
+		for event := from + 1; event <= streamEvents; event++ {
+			if how != ends && event == before {
+				replica.misbehave(conn, how, event)
+				return
+			}
+			writeChunk(conn, eventText(event))
+			time.Sleep(2 * time.Millisecond)
+		}
+		io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+func (replica *fakeReplica) misbehave(conn net.Conn, how ending, event int) {
+	switch how {
+	case breaksOff:
+		writeChunk(conn, eventText(event)[:9])
+		reset(conn)
+	case resetsOff:
+		reset(conn)
+	case closesShut:
+		writeChunk(conn, eventText(event)[:9])
+		io.WriteString(conn, "0\r\n\r\n")
+	case goesSilent:
+		replica.listener.Close() // its address is dead, and nothing more comes
+		io.Copy(io.Discard, conn)
+	}
+}
+
+func writeChunk(conn io.Writer, text string) {
+	fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+}
+
+func eventText(event int) string {
+	return fmt.Sprintf("id: %d\ndata: token %d\n\n", event, event)
+}
+
+// wholeStream is what a caller must get after the event that it has.
+func wholeStream(after int) string {
+	var text strings.Builder
+	for event := after + 1; event <= streamEvents; event++ {
+		text.WriteString(eventText(event))
+	}
+	return text.String()
+}
+
+func TestStreams(t *testing.T) {
+	convey.Convey("Given two engines that hold the whole model", t, func() {
+		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
+		one.streams(ends, 0)
+		two.streams(ends, 0)
+		server := front(t, newFleet("lm", one, two))
+		convey.Convey("A stream is passed on whole, from where the caller is", func() {
+			got := ask(server, "POST", "/stream/", "s1", "Token-Count", "10,20")
+			convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+			convey.So(one.lastRequest().Header.Get("Hop-Count"), convey.ShouldEqual, one.address()+"=0-4")
+			convey.So(one.lastRequest().Header.Get("Request-Priority"), convey.ShouldEqual, "3")
+			got = ask(server, "POST", "/stream/", "s2", "Last-Event-Id", "7")
+			convey.So(got.body, convey.ShouldEqual, wholeStream(7))
+		})
+		convey.Convey("A stream that breaks off goes on at the other engine inside the same answer", func() {
+			for _, how := range []ending{breaksOff, resetsOff, closesShut} {
+				one.streams(how, 5)
+				got := ask(server, "POST", "/stream/", fmt.Sprint("b", how))
+				convey.So(got.whole, convey.ShouldBeTrue)
+				convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+				convey.So(got.header.Get("Server-Seal"), convey.ShouldEqual, "seal-e-1")
+				convey.So(two.lastRequest().Header.Get("Last-Event-Id"), convey.ShouldEqual, "4")
+			}
+		})
+		convey.Convey("A silent stream over a dead engine goes on within the pause that callers allow", func() {
+			one.streams(goesSilent, 5)
+			begun := time.Now()
+			got := ask(server, "POST", "/stream/", "q")
+			convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+			convey.So(time.Since(begun), convey.ShouldBeLessThan, time.Second)
+		})
+		convey.Convey("An engine without room is passed by; if none has any the refusal is true", func() {
+			one.streams(refusesRoom, 0)
+			convey.So(ask(server, "POST", "/stream/", "r1").body, convey.ShouldEqual, wholeStream(0))
+			two.streams(refusesRoom, 0)
+			got := ask(server, "POST", "/stream/", "r2")
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(one.runsOf("r2")+two.runsOf("r2"), convey.ShouldEqual, 0)
+		})
+		convey.Convey("A stream that cannot go on does not look whole", func() {
+			one.streams(breaksOff, 5)
+			two.streams(breaksOff, 6)
+			got := ask(server, "POST", "/stream/", "x")
+			convey.So(got.whole, convey.ShouldBeFalse)
+			convey.So(wholeStream(0), convey.ShouldStartWith, got.body)
+			last, err := bufio.NewReader(strings.NewReader(got.body[max(0, len(got.body)-2):])).ReadString(0)
+			convey.So(err, convey.ShouldEqual, io.EOF)
+			convey.So(last, convey.ShouldEqual, "\n\n")
+		})
+	})
+}
+
+// TestEventsOnceAndInOrder plays streams over engines that misbehave at random.
+// Whatever reaches the caller is a beginning of the stream that ends with a whole
+// event, and a whole answer is the whole stream.
+func TestEventsOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := make([]*fakeReplica, rapid.IntRange(1, 3).Draw(t, "engines"))
+		for i := range engines {
+			engines[i] = newFakeReplica(t, fmt.Sprint("e-", i))
+			how := rapid.SampledFrom([]ending{ends, breaksOff, resetsOff, closesShut, refusesRoom}).Draw(t, "ending")
+			engines[i].streams(how, rapid.IntRange(1, streamEvents).Draw(t, "before"))
+		}
+		server := front(t, newFleet("lm", engines...))
+		defer server.Close()
+		after := rapid.IntRange(0, streamEvents-1).Draw(t, "after")
+		got := ask(server, "POST", "/stream/", "s", "Last-Event-Id", strconv.Itoa(after))
+		if got.status != 200 {
+			return
+		}
+		want := wholeStream(after)
+		switch {
+		case !strings.HasPrefix(want, got.body):
+			t.Fatalf("%q is no beginning of %q", got.body, want)
+		case got.whole && got.body != want:
+			t.Fatalf("looks whole and is %q", got.body)
+		case got.body != "" && !strings.HasSuffix(got.body, "\n\n"):
+			t.Fatalf("part of an event was passed on: %q", got.body)
+		}
+	})
+}
--- /dev/null
+++ b/hatchmember/roster_test.go
@@ -0,0 +1,124 @@
+package hatchmember
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"dragonflyhatch"
+)
+
+func describe(host, site string, version uint64) dragonflyhatch.Member {
+	return dragonflyhatch.Member{Host: host, Site: site, Process: fmt.Sprintf("%s/%d", host, version), Version: version}
+}
+
+func hostNames(members []dragonflyhatch.Member) []string {
+	var names []string
+	for _, member := range members {
+		names = append(names, member.Host)
+	}
+	return names
+}
+
+func TestRoster(t *testing.T) {
+	now := time.Now()
+	convey.Convey("Given a daemon that has heard of three others", t, func() {
+		roster := NewRoster(describe("a1", "a", 10))
+		for _, each := range []dragonflyhatch.Member{describe("a2", "a", 10), describe("b1", "b", 10), describe("b2", "b", 10)} {
+			convey.So(roster.Heard(each), convey.ShouldBeTrue)
+			convey.So(roster.Heard(each), convey.ShouldBeFalse)
+		}
+		convey.Convey("Callers are sent to their own site while it has enough daemons", func() {
+			convey.So(hostNames(roster.Entries("a")), convey.ShouldResemble, []string{"a1", "a2"})
+			leaving := describe("a2", "a", 10)
+			leaving.Leaving, leaving.Version = true, 11
+			roster.Heard(leaving)
+			convey.So(hostNames(roster.Entries("a")), convey.ShouldResemble, []string{"a1", "b1", "b2"})
+		})
+		convey.Convey("Its own failed calls make a member suspect, and an answer clears it", func() {
+			convey.So(roster.Failed("b1", now), convey.ShouldBeFalse)
+			convey.So(roster.Failed("b1", now), convey.ShouldBeTrue)
+			convey.So(roster.IsServing("b1"), convey.ShouldBeFalse)
+			convey.So(roster.Suspects(), convey.ShouldResemble, []string{"b1"})
+			convey.So(roster.Answered("b1", now), convey.ShouldBeTrue)
+			convey.So(roster.IsServing("b1"), convey.ShouldBeTrue)
+		})
+		convey.Convey("The word of others only makes it call, and not again at once", func() {
+			convey.So(hostNames(roster.Warned([]string{"b1", "unknown"}, now)), convey.ShouldResemble, []string{"b1"})
+			convey.So(roster.IsServing("b1"), convey.ShouldBeTrue)
+			convey.So(roster.Warned([]string{"b1"}, now), convey.ShouldBeEmpty)
+		})
+		convey.Convey("A new process on a host is not suspect for what the old one was", func() {
+			roster.Failed("b1", now)
+			roster.Failed("b1", now)
+			roster.Heard(describe("b1", "b", 20))
+			convey.So(roster.IsServing("b1"), convey.ShouldBeTrue)
+		})
+		convey.Convey("A stale word about itself makes it raise its own version", func() {
+			convey.So(roster.Heard(describe("a1", "a", 99)), convey.ShouldBeTrue)
+			convey.So(roster.Self().Version, convey.ShouldEqual, 100)
+		})
+		convey.Convey("A suspect member is forgotten after a while", func() {
+			roster.Failed("b1", now)
+			roster.Failed("b1", now)
+			roster.Forget(now.Add(forgetAfter + time.Second))
+			convey.So(roster.Size(), convey.ShouldEqual, 3)
+		})
+	})
+}
+
+// TestGossipSpreads has rosters exchange what they tell, in any order, and wants
+// them all to agree in the end.
+func TestGossipSpreads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 30).Draw(t, "daemons")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		rosters := make([]*Roster, count)
+		for i := range rosters {
+			rosters[i] = NewRoster(describe(fmt.Sprintf("h%02d", i), "a", 1))
+			rosters[i].Heard(rosters[0].Self()) // the seed
+		}
+		rosters[rapid.IntRange(0, count-1).Draw(t, "leaver")].Leave()
+		rounds := 0
+		for ; !agree(rosters) && rounds < 60; rounds++ {
+			for i, roster := range rosters {
+				peers := roster.Peers(random)
+				if len(peers) == 0 {
+					continue
+				}
+				var other int
+				fmt.Sscanf(peers[0].Host, "h%02d", &other)
+				gossipBetween(roster, rosters[other], random)
+				_ = i
+			}
+		}
+		if !agree(rosters) {
+			t.Fatalf("%d daemons do not agree after %d rounds", count, rounds)
+		}
+	})
+}
+
+func gossipBetween(a, b *Roster, random *rand.Rand) {
+	toB := append(a.Tell(random), a.Self())
+	toA := append(b.Tell(random), b.Self())
+	for _, each := range toB {
+		b.Heard(each)
+	}
+	for _, each := range toA {
+		a.Heard(each)
+	}
+}
+
+func agree(rosters []*Roster) bool {
+	want := fmt.Sprint(hostNames(rosters[0].Serving()))
+	for _, roster := range rosters {
+		if fmt.Sprint(hostNames(roster.Serving())) != want || len(roster.Serving()) != len(rosters)-1 {
+			return false
+		}
+	}
+	return true
+}
--- a/hatchorder/placement.go
+++ b/hatchorder/placement.go
@@ -74,7 +74,7 @@
 	var groups []*placementGroup
 	rest := &placementGroup{model: model}
 	for _, site := range sites {
-		if group := bySite[site]; group.capacity() >= model.Layers {
+		if group := bySite[site]; group.capacity(standInShare) >= model.Layers {
 			groups = append(groups, group)
 		} else {
 			rest.engines = append(rest.engines, group.engines...)
@@ -112,18 +112,21 @@
 	return int(share * group.memory(engine) / group.model.LayerMB)
 }
 
-// capacity returns how many layers all engines can hold when they are laid out.
-func (group *placementGroup) capacity() int {
+// capacity returns how many layers all engines hold in the share of their
+// memory.
+func (group *placementGroup) capacity(share float64) int {
 	total := 0
 	for _, engine := range group.engines {
-		total += group.room(engine, weightShare)
+		total += group.room(engine, share)
 	}
 	return total
 }
 
 func (group *placementGroup) plan() []Placement {
 	if !slices.ContainsFunc(group.engines, func(engine *PlacedEngine) bool { return engine.count() > 0 }) {
-		group.layOut()
+		if !group.layOut() {
+			return nil // there is nothing to add to
+		}
 	}
 	for _, gap := range group.gaps() {
 		if !group.fill(gap) && !slices.ContainsFunc(group.engines, func(engine *PlacedEngine) bool { return engine.Busy }) {
@@ -136,14 +139,19 @@
 	return group.plans
 }
 
-// layOut gives the layers to the fastest engines, as many as fit on each.
-func (group *placementGroup) layOut() {
-	if group.capacity() < group.model.Layers {
-		return // nothing would serve
+// layOut gives the layers to the fastest engines, as many as fit on each. It
+// returns false if they do not fit on all.
+func (group *placementGroup) layOut() bool {
+	share := weightShare
+	if group.capacity(share) < group.model.Layers {
+		share = standInShare
+	}
+	if group.capacity(share) < group.model.Layers {
+		return false
 	}
 	first := 0
 	for _, engine := range group.engines {
-		count := min(group.room(engine, weightShare), group.model.Layers-first)
+		count := min(group.room(engine, share), group.model.Layers-first)
 		if count == 0 {
 			continue
 		}
@@ -153,6 +161,7 @@
 			group.place(engine, layers)
 		}
 	}
+	return true
 }
 
 // holders returns for each layer how many engines hold it.
@@ -328,8 +337,10 @@
 			continue
 		}
 		if spare := group.spare(excess, nil); spare != nil {
-			count := min(group.room(spare, weightShare), excess)
-			group.place(spare, dragonflyhatch.LayerRange{First: trimmed.End - count, End: trimmed.End})
+			// What room it has beyond the excess relieves the next in the chain.
+			first := max(trimmed.End-excess, trimmed.End-group.room(spare, weightShare))
+			end := min(first+group.room(spare, weightShare), group.model.Layers)
+			group.place(spare, dragonflyhatch.LayerRange{First: first, End: end})
 		}
 	}
 }
--- /dev/null
+++ b/hatchpath/pipeline_test.go
@@ -0,0 +1,210 @@
+package hatchpath
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"dragonflyhatch"
+)
+
+var start = time.Now()
+
+func testServices(layers int) map[string]dragonflyhatch.UpstreamService {
+	return map[string]dragonflyhatch.UpstreamService{"lm": {Name: "lm", Model: &dragonflyhatch.EngineModel{
+		Layers: layers, LayerMB: 1000, KVBytes: 100000,
+		Accelerators: map[string]dragonflyhatch.Accelerator{
+			"fast": {MemoryMB: 20000, Pace: 2, ReadFactor: 1}, "slow": {MemoryMB: 20000, Pace: 10, ReadFactor: 10},
+		},
+	}}}
+}
+
+func engine(id, site, accelerator string, first, end int) dragonflyhatch.Replica {
+	return dragonflyhatch.Replica{
+		ID: id, Service: "lm", Address: id + ":1", Site: site, Accelerator: accelerator,
+		Held: dragonflyhatch.HeldLayers{LayerRange: dragonflyhatch.LayerRange{First: first, End: end}, Version: 1},
+	}
+}
+
+func query(exclude ...string) Query {
+	return Query{Service: "lm", Site: "a", Tokens: 100, Exclude: exclude, Daemons: 1, Random: rand.New(rand.NewPCG(1, 2))}
+}
+
+func TestPipeline(t *testing.T) {
+	convey.Convey("Given two sites with a pipeline each", t, func() {
+		healths := NewHealths()
+		replicas := []dragonflyhatch.Replica{
+			engine("a1", "a", "slow", 0, 6), engine("a2", "a", "slow", 4, 10),
+			engine("b1", "b", "fast", 0, 5), engine("b2", "b", "fast", 5, 10),
+		}
+		view := NewView(replicas, testServices(10), healths)
+		convey.Convey("The daemon's own site serves", func() {
+			pipeline, err := view.Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "a1")
+			convey.So(pipeline.Stages[0].Layers.End, convey.ShouldEqual, pipeline.Stages[1].Layers.First)
+		})
+		convey.Convey("A lost, excluded or full engine sends requests to the other site, and back", func() {
+			health := healths.Of(replicas[0])
+			health.Unreachable(start)
+			pipeline, err := view.Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "b1")
+			health.Reached(start)
+			pipeline, err = view.Pipeline(start, query("a2:1"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "b1")
+			health.Full(start)
+			pipeline, err = view.Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "b1")
+			pipeline, err = view.Pipeline(start.Add(fullTime), query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "a1")
+		})
+		convey.Convey("Requests in flight fill a site's KV memory and send others elsewhere", func() {
+			pipeline, err := view.Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			pipeline.Tokens = 300000
+			pipeline.Begin()
+			other, err := view.Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(other.Nodes[0].ID, convey.ShouldEqual, "b1")
+			pipeline.End()
+			again, err := view.Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(again.Nodes[0].ID, convey.ShouldEqual, "a1")
+		})
+		convey.Convey("An engine that has turned slow is passed by while its word counts", func() {
+			healths.Of(replicas[0]).Paced(start, 12)
+			pipeline, err := view.Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "b1")
+			pipeline, err = view.Pipeline(start.Add(paceAge+time.Second), query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "a1")
+		})
+		convey.Convey("Without a whole site, the sites serve together", func() {
+			healths.Of(replicas[1]).Unreachable(start)
+			pipeline, err := view.Pipeline(start, query("b1:1"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes, convey.ShouldHaveLength, 2)
+			_, err = view.Pipeline(start, query("b1:1", "a1:1"))
+			convey.So(dragonflyhatch.KindOf(err), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
+		})
+		convey.Convey("An engine that is leaving gets nothing", func() {
+			replicas[0].Leaving = true
+			pipeline, err := NewView(replicas, testServices(10), healths).Pipeline(start, query())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "b1")
+		})
+	})
+}
+
+// TestEveryLayerOnce compares choices among random engines with an oracle that
+// only knows whether the layers can be covered.
+func TestEveryLayerOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers := rapid.IntRange(1, 12).Draw(t, "layers")
+		healths := NewHealths()
+		var replicas []dragonflyhatch.Replica
+		for i := range rapid.IntRange(0, 10).Draw(t, "engines") {
+			first := rapid.IntRange(0, layers-1).Draw(t, "first")
+			replica := engine(fmt.Sprintf("e%d", i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "site"),
+				rapid.SampledFrom([]string{"fast", "slow", "odd"}).Draw(t, "accelerator"), first, rapid.IntRange(first+1, layers).Draw(t, "end"))
+			replica.Held.Version = rapid.IntRange(1, 2).Draw(t, "version")
+			replica.Leaving = rapid.IntRange(0, 5).Draw(t, "leaving") == 0
+			if rapid.IntRange(0, 5).Draw(t, "down") == 0 {
+				healths.Of(replica).Unreachable(start)
+			}
+			replicas = append(replicas, replica)
+		}
+		pipeline, err := NewView(replicas, testServices(layers), healths).Pipeline(start, query())
+		if possible := coverable(replicas, healths, layers); possible != (err == nil) {
+			t.Fatalf("covering is possible: %v, but the choice says: %v", possible, err)
+		}
+		if err != nil {
+			return
+		}
+		checkPipeline(t, pipeline, layers)
+	})
+}
+
+func checkPipeline(t *rapid.T, pipeline *Pipeline, layers int) {
+	at := 0
+	used := make(map[string]bool)
+	version := pipeline.Nodes[0].Held.Version
+	for i, stage := range pipeline.Stages {
+		node := pipeline.Nodes[i]
+		switch {
+		case stage.Layers.First != at || stage.Layers.End <= at:
+			t.Fatalf("stage %d runs %v after layer %d", i, stage.Layers, at)
+		case stage.Layers.First < node.Held.First || stage.Layers.End > node.Held.End:
+			t.Fatalf("stage %d runs %v and holds %v", i, stage.Layers, node.Held)
+		case used[node.ID]:
+			t.Fatalf("%s is used twice", node.ID)
+		case node.Held.Version != version || node.Leaving || node.Down(start):
+			t.Fatalf("%s must not be used", node.ID)
+		}
+		used[node.ID] = true
+		at = stage.Layers.End
+	}
+	if at != layers {
+		t.Fatalf("the pipeline ends at layer %d of %d", at, layers)
+	}
+}
+
+// coverable says whether usable engines of one version hold every layer.
+func coverable(replicas []dragonflyhatch.Replica, healths *Healths, layers int) bool {
+	for version := 1; version <= 2; version++ {
+		held := make([]bool, layers)
+		count := 0
+		for _, replica := range replicas {
+			if replica.Held.Version != version || replica.Leaving || healths.Of(replica).Down(start) {
+				continue
+			}
+			for layer := replica.Held.First; layer < replica.Held.End; layer++ {
+				if !held[layer] {
+					held[layer] = true
+					count++
+				}
+			}
+		}
+		if count == layers {
+			return true
+		}
+	}
+	return false
+}
+
+func TestService(t *testing.T) {
+	convey.Convey("Among replicas of a plain service the likely fastest is chosen, and failing ones are passed by", t, func() {
+		healths := NewHealths()
+		replicas := []dragonflyhatch.Replica{
+			{ID: "s1", Service: "desk", Address: "s1:1", Site: "a", Slots: 4},
+			{ID: "s2", Service: "desk", Address: "s2:1", Site: "b", Slots: 4},
+		}
+		view := NewView(replicas, nil, healths)
+		choose := func(exclude ...string) string {
+			node, err := view.Service(start, Query{Service: "desk", Site: "a", Exclude: exclude, Random: rand.New(rand.NewPCG(1, 2))})
+			if err != nil {
+				return dragonflyhatch.KindOf(err).String()
+			}
+			return node.ID
+		}
+		for range 20 {
+			healths.Of(replicas[0]).Answered(start, 50*time.Millisecond, true)
+			healths.Of(replicas[1]).Answered(start, 50*time.Millisecond, false)
+		}
+		convey.So(choose(), convey.ShouldEqual, "s2")
+		convey.So(choose("s2:1"), convey.ShouldEqual, "s1")
+		healths.Of(replicas[1]).Loaded(start, dragonflyhatch.ServiceLoad{Running: 4, Waiting: 40, Slots: 4})
+		convey.So(choose(), convey.ShouldEqual, "s1")
+		healths.Of(replicas[0]).Unreachable(start)
+		convey.So(choose("s2:1"), convey.ShouldEqual, "upstreamUnavailable")
+	})
+}
--- a/hatchretry/shared.go
+++ b/hatchretry/shared.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// windowParts is how many parts a window is counted in.
-const windowParts = 20
+// windowParts is how many parts a window is counted in. One more is kept, so that
+// the repeats of every window that slides over them are counted whole.
+const (
+	windowParts = 20
+	keptParts   = windowParts + 1
+)
 
 // safetyShare is the part of the fleet's budget that daemons spend: their counts
 // of each other lag, and they divide the window at different moments.
@@ -29,8 +33,8 @@
 
 	mu       sync.Mutex
 	part     int64 // number of the newest part of the window
-	requests [windowParts]int
-	repeats  [windowParts]int
+	requests [keptParts]int
+	repeats  [keptParts]int
 }
 
 // NewSharedBudget returns a budget in which nothing has been spent.
@@ -66,8 +70,11 @@
 	return max(int(budget.allowed(daemons))-sum(budget.repeats), 0)
 }
 
+// allowed returns the repeats of a window. The requests of its oldest, partly
+// past, part earn nothing.
 func (budget *SharedBudget) allowed(daemons int) float64 {
-	return safetyShare * (budget.terms.Ratio*float64(sum(budget.requests)) + budget.terms.Extra/float64(max(daemons, 1)))
+	oldest := budget.requests[(budget.part+1)%keptParts]
+	return safetyShare * (budget.terms.Ratio*float64(sum(budget.requests)-oldest) + budget.terms.Extra/float64(max(daemons, 1)))
 }
 
 // turn moves the window on to now and returns the index of its newest part.
@@ -75,21 +82,21 @@
 	part := int64(now.Sub(budget.epoch)) / int64(budget.terms.Window/windowParts)
 	switch {
 	case part <= budget.part: // the newest part, or a moment read before another goroutine's
-	case part-budget.part >= windowParts:
+	case part-budget.part >= keptParts:
 		clear(budget.requests[:])
 		clear(budget.repeats[:])
 		budget.part = part
 	default:
 		for budget.part < part {
 			budget.part++
-			index := budget.part % windowParts
+			index := budget.part % keptParts
 			budget.requests[index], budget.repeats[index] = 0, 0
 		}
 	}
-	return int(budget.part % windowParts)
+	return int(budget.part % keptParts)
 }
 
-func sum(counts [windowParts]int) int {
+func sum(counts [keptParts]int) int {
 	total := 0
 	for _, count := range counts {
 		total += count
--- /dev/null
+++ b/hatchretry/shared_test.go
@@ -0,0 +1,87 @@
+package hatchretry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"dragonflyhatch"
+)
+
+// TestFleetKeepsTheSharedBudget has daemons spend all they can and counts every
+// window of the whole fleet.
+func TestFleetKeepsTheSharedBudget(t *testing.T) {
+	terms := SharedTerms{Ratio: 0.2, Extra: 40, Window: 10 * time.Second}
+	const step = 100 * time.Millisecond
+	const windowSteps = 100
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 8).Draw(t, "daemons")
+		budgets := make([]*SharedBudget, daemons)
+		for i := range budgets {
+			budgets[i] = NewSharedBudget(terms)
+		}
+		begun := time.Now()
+		var requests, repeats []int
+		for at := range 3 * windowSteps {
+			now := begun.Add(time.Duration(at) * step)
+			requests, repeats = append(requests, 0), append(repeats, 0)
+			for _, budget := range budgets {
+				for range rapid.IntRange(0, 3).Draw(t, "requests") {
+					budget.Earn(now)
+					requests[at]++
+				}
+				if rapid.Bool().Draw(t, "spends") {
+					for budget.Spend(now, daemons) {
+						repeats[at]++
+					}
+				}
+			}
+			from := max(0, at+1-windowSteps)
+			allowed := terms.Ratio*float64(sumOf(requests[from:])) + terms.Extra
+			// Requests of the window before count too where they were more.
+			before := max(0, from-windowSteps)
+			allowed = max(allowed, terms.Ratio*float64(sumOf(requests[before:from]))+terms.Extra)
+			if spent := sumOf(repeats[from:]); float64(spent) > allowed {
+				t.Fatalf("%d repeats in a window that allows %.1f", spent, allowed)
+			}
+		}
+	})
+}
+
+func sumOf(counts []int) int {
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	return total
+}
+
+func TestSharedBudgetIsUsable(t *testing.T) {
+	convey.Convey("One daemon of ten may spend its part of the extra at once, and it comes back", t, func() {
+		budget := NewSharedBudget(SharedTerms{Ratio: 0.2, Extra: 400, Window: 10 * time.Second})
+		now := time.Now()
+		spent := 0
+		for budget.Spend(now, 10) {
+			spent++
+		}
+		convey.So(spent, convey.ShouldEqual, 28)
+		convey.So(budget.Left(now, 10), convey.ShouldEqual, 0)
+		convey.So(budget.Left(now.Add(11*time.Second), 10), convey.ShouldEqual, 28)
+	})
+}
+
+func TestAttemptsThatMayRunOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	deadline := now.Add(time.Second)
+	convey.Convey("What may run once is repeated only after a replica that surely did not run it", t, func() {
+		attempts := NewAttempts(deadline, false, WithMaxRuns(1))
+		convey.So(attempts.Failed(now, failure(dragonflyhatch.KindUpstreamUnavailable), nil, NewBudget()), convey.ShouldBeNil)
+		convey.So(attempts.RunsLeft(), convey.ShouldEqual, 1)
+		end := attempts.Failed(now, failure(dragonflyhatch.KindUpstreamLost), nil, NewBudget())
+		convey.So(dragonflyhatch.KindOf(end), convey.ShouldEqual, dragonflyhatch.KindUpstreamLost)
+		convey.So(attempts.RunsLeft(), convey.ShouldEqual, 0)
+		convey.So(attempts.MaybeRan(), convey.ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/hatchroute/table_test.go
@@ -0,0 +1,59 @@
+package hatchroute
+
+import (
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"dragonflyhatch"
+)
+
+func TestTable(t *testing.T) {
+	convey.Convey("Given routes with shared prefixes", t, func() {
+		table := NewTable(&dragonflyhatch.Routing{
+			Version: 3,
+			Routes: []dragonflyhatch.Route{
+				{Name: "root", Host: "a.example", Prefix: "/"},
+				{Name: "deep", Host: "a.example", Prefix: "/x/y/", Public: true},
+				{Name: "mid", Host: "A.example", Prefix: "/x/"},
+				{Name: "other", Host: "b.example", Prefix: "/x/", Services: []dragonflyhatch.WeightedService{{Name: "s", Weight: 90}, {Name: "t", Weight: 10}}},
+			},
+			Services:      map[string]dragonflyhatch.UpstreamService{"s": {Name: "s"}, "t": {Name: "t"}},
+			Organisations: []dragonflyhatch.Organisation{{Name: "office", Keys: []string{"k1", "k2"}}},
+		})
+		convey.Convey("The longest prefix of the host wins", func() {
+			for _, each := range []struct{ host, path, want string }{
+				{"a.example", "/x/y/z", "deep"},
+				{"a.example:8080", "/x/yy", "mid"},
+				{"A.EXAMPLE", "/q", "root"},
+				{"b.example", "/x/", "other"},
+				{"b.example", "/x", ""},
+				{"c.example", "/x/", ""},
+			} {
+				route := table.Route(each.host, each.path)
+				name := ""
+				if route != nil {
+					name = route.Name
+				}
+				convey.So(name, convey.ShouldEqual, each.want)
+			}
+		})
+		convey.Convey("Keys name organisations, and only public routes need none", func() {
+			convey.So(table.Organisation("k2").Name, convey.ShouldEqual, "office")
+			convey.So(table.Organisation(""), convey.ShouldBeNil)
+			convey.So(table.NeedsKey(table.Route("a.example", "/x/y/z")), convey.ShouldBeFalse)
+			convey.So(table.NeedsKey(table.Route("a.example", "/x/z")), convey.ShouldBeTrue)
+		})
+		convey.Convey("Weights share requests, and a route without a service has none", func() {
+			counts := make(map[string]int)
+			for i := range 1000 {
+				service, ok := table.Service(table.Route("b.example", "/x/"), float64(i)/1000)
+				convey.So(ok, convey.ShouldBeTrue)
+				counts[service.Name]++
+			}
+			convey.So(counts, convey.ShouldResemble, map[string]int{"s": 900, "t": 100})
+			_, ok := table.Service(table.Route("a.example", "/q"), 0.5)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+	})
+}
--- a/hatchserve/daemon.go
+++ b/hatchserve/daemon.go
@@ -18,10 +18,10 @@
 	"dragonflyhatch/hatchconfig"
 	"dragonflyhatch/hatchmember"
 	"dragonflyhatch/hatchpeer"
-	"dragonflyhatch/hatchplatform"
 	"dragonflyhatch/hatchretry"
 	"dragonflyhatch/hatchroute"
 	"dragonflyhatch/hatchupstream"
+	"dragonflyhatch/platform"
 )
 
 // Daemon is one entry host's process.
@@ -106,8 +106,8 @@
 		logger:   slog.Default(),
 		registry: registry,
 		random:   rand.New(sharedRandom{}),
-		platform: hatchplatform.New(settings.Platform,
-			hatchplatform.WithTimeout(time.Duration(timing.PlatformTimeout)), hatchplatform.WithMetrics(registry)),
+		platform: platform.NewStore(settings.Platform,
+			platform.WithTimeout(time.Duration(timing.PlatformTimeout)), platform.WithMetrics(registry)),
 		engine:  hatchupstream.NewEngine(hatchupstream.WithSilence(time.Duration(timing.StreamSilence))),
 		service: hatchupstream.NewService(),
 		peer: hatchpeer.NewClient(hatchpeer.WithDialer(
--- a/hatchstandin/platform.go
+++ b/hatchstandin/platform.go
@@ -1,6 +1,7 @@
 package hatchstandin
 
 import (
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
@@ -10,16 +11,16 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-
-	"dragonflyhatch"
 )
 
 // PlatformFaults says how the platform stand-in misbehaves.
 type PlatformFaults struct {
 	Outage      bool     `json:"outage"`      // every call fails
+	Silent      bool     `json:"silent"`      // no call is answered
+	Refuse      int      `json:"refuse"`      // next calls that get 429
 	Delay       Duration `json:"delay"`       // added before each call
 	LoseReplies int      `json:"loseReplies"` // next writes that apply but are not answered
-	StaleHosts  bool     `json:"staleHosts"`  // the host list stops changing
+	LateWrites  Duration `json:"lateWrites"`  // lost writes apply so much later, if their condition still holds
 	HoldWatches bool     `json:"holdWatches"` // changes are not shown to watches
 }
 
@@ -28,31 +29,57 @@
 	Reads    int `json:"reads"`
 	Writes   int `json:"writes"`
 	Watches  int `json:"watches"`
-	Hosts    int `json:"hosts"`
-	Refused  int `json:"refused"` // writes that met another version
+	Refused  int `json:"refused"` // writes that met another revision
 	Outages  int `json:"outages"` // calls refused by an outage
 	BytesIn  int `json:"bytesIn"`
 	BytesOut int `json:"bytesOut"`
 }
 
-// Platform is the stand-in for the platform's object API and host list.
-type Platform struct {
-	hostLag time.Duration
+// StoredObject is an object as the store writes it.
+type StoredObject struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// Metadata is the store's own part of an object.
+type Metadata struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision,omitempty"` // of the last change
+	Created  uint64 `json:"created,omitempty"`
+}
 
-	mu      sync.Mutex
-	version uint64
-	objects map[string]dragonflyhatch.Object
-	log     []dragonflyhatch.Change
-	changed chan struct{} // closed and replaced by every write
-	faults  PlatformFaults
-	counts  PlatformCounts
-	hosts   map[string]hostRow
-	shown   []dragonflyhatch.ListedHost
+// StoredChange is one event of a watch.
+type StoredChange struct {
+	Object  StoredObject `json:"object"`
+	Removed bool         `json:"removed"`
 }
 
-type hostRow struct {
-	before, now dragonflyhatch.ListedHost
-	since       time.Time
+// ObjectPage is the answer to a listing or a watch.
+type ObjectPage struct {
+	Items    []StoredObject `json:"items,omitempty"`
+	Events   []StoredChange `json:"events,omitempty"`
+	HasMore  bool           `json:"has_more"`
+	Revision uint64         `json:"as_of"`
+}
+
+// pageSize bounds the items of one listing; the platform's own is about 500.
+const pageSize = 50
+
+// serversKind is the kind by which replicas register themselves.
+const serversKind = "servers"
+
+// Platform is the stand-in for the platform's metadata store.
+type Platform struct {
+	hostLag time.Duration
+
+	mu       sync.Mutex
+	revision uint64
+	oldest   uint64                             // revision up to which the history is forgotten
+	objects  map[string]map[string]StoredObject // by kind and name
+	log      map[string][]StoredChange          // by kind
+	changed  chan struct{}                      // closed and replaced by every write
+	faults   PlatformFaults
+	counts   PlatformCounts
 }
 
 // PlatformOption changes a platform stand-in.
@@ -66,9 +93,10 @@
 // NewPlatform returns an empty platform stand-in.
 func NewPlatform(options ...PlatformOption) *Platform {
 	platform := &Platform{
-		objects: make(map[string]dragonflyhatch.Object),
-		changed: make(chan struct{}),
-		hosts:   make(map[string]hostRow),
+		revision: 1,
+		objects:  make(map[string]map[string]StoredObject),
+		log:      make(map[string][]StoredChange),
+		changed:  make(chan struct{}),
 	}
 	for _, option := range options {
 		option(platform)
@@ -76,18 +104,18 @@
 	return platform
 }
 
-// Handler serves the object API, the host list and the controls.
+// Handler serves the object API and the controls.
 func (platform *Platform) Handler() http.Handler {
 	router := httprouter.New()
-	router.GET("/v1/objects/*name", platform.guard(platform.get))
-	router.PUT("/v1/objects/*name", platform.guard(platform.put))
-	router.DELETE("/v1/objects/*name", platform.guard(platform.remove))
-	router.GET("/v1/list/*prefix", platform.guard(platform.list))
-	router.GET("/v1/watch/*prefix", platform.guard(platform.watch))
-	router.GET("/v1/hosts", platform.guard(platform.listHosts))
+	router.GET("/-/objects/:kind", platform.guard(platform.listOrWatch))
+	router.POST("/-/objects/:kind", platform.guard(platform.create))
+	router.GET("/-/objects/:kind/*name", platform.guard(platform.get))
+	router.PUT("/-/objects/:kind/*name", platform.guard(platform.put))
+	router.DELETE("/-/objects/:kind/*name", platform.guard(platform.remove))
 	router.PUT("/standin/hosts", platform.setHost)
 	router.PUT("/standin/faults", platform.setFaults)
 	router.GET("/standin/counts", platform.getCounts)
+	router.POST("/standin/forget", platform.forgetHistory)
 	return router
 }
 
@@ -99,147 +127,220 @@
 		if faults.Outage {
 			platform.counts.Outages++
 		}
+		if faults.Refuse > 0 {
+			platform.faults.Refuse--
+		}
 		platform.mu.Unlock()
 		time.Sleep(time.Duration(faults.Delay))
-		if faults.Outage {
+		switch {
+		case faults.Silent:
+			<-request.Context().Done()
+		case faults.Outage:
 			http.Error(writer, "outage", http.StatusServiceUnavailable)
-			return
+		case faults.Refuse > 0:
+			http.Error(writer, "too many calls", http.StatusTooManyRequests)
+		default:
+			handle(writer, request, params)
 		}
-		handle(writer, request, params)
 	}
 }
 
-func objectName(params httprouter.Params, parameter string) string {
-	return strings.TrimPrefix(params.ByName(parameter), "/")
+func objectName(params httprouter.Params) string {
+	return strings.TrimPrefix(params.ByName("name"), "/")
 }
 
 func (platform *Platform) get(writer http.ResponseWriter, _ *http.Request, params httprouter.Params) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.counts.Reads++
-	object, ok := platform.objects[objectName(params, "name")]
+	object, ok := platform.objects[params.ByName("kind")][objectName(params)]
 	if !ok {
 		http.Error(writer, "no such object", http.StatusNotFound)
 		return
 	}
-	platform.counts.BytesOut += len(object.Value)
+	platform.counts.BytesOut += len(object.Spec)
 	writeJSON(writer, object)
 }
 
+func (platform *Platform) create(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
+	var object StoredObject
+	if !readJSON(writer, request, &object) {
+		return
+	}
+	platform.answerWrite(writer, func() (StoredObject, int) {
+		return platform.write(params.ByName("kind"), object, true)
+	})
+}
+
 func (platform *Platform) put(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
-	var object dragonflyhatch.Object
+	var object StoredObject
 	if !readJSON(writer, request, &object) {
 		return
 	}
-	object.Name = objectName(params, "name")
-	platform.write(writer, request, object, false)
+	object.Metadata.Name = objectName(params)
+	platform.answerWrite(writer, func() (StoredObject, int) {
+		return platform.write(params.ByName("kind"), object, false)
+	})
 }
 
 func (platform *Platform) remove(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
-	platform.write(writer, request, dragonflyhatch.Object{Name: objectName(params, "name")}, true)
+	revision, err := strconv.ParseUint(request.URL.Query().Get("revision"), 10, 64)
+	if err != nil && request.URL.Query().Has("revision") {
+		http.Error(writer, "bad revision", http.StatusBadRequest)
+		return
+	}
+	platform.answerWrite(writer, func() (StoredObject, int) {
+		return platform.drop(params.ByName("kind"), objectName(params), revision)
+	})
 }
 
-// write applies a conditional write: If-None-Match "*" creates, If-Match with
-// a version updates or removes.
-func (platform *Platform) write(writer http.ResponseWriter, request *http.Request, object dragonflyhatch.Object, remove bool) {
+// answerWrite applies a write and answers it, or loses the answer, or applies it
+// later.
+func (platform *Platform) answerWrite(writer http.ResponseWriter, apply func() (StoredObject, int)) {
 	platform.mu.Lock()
 	platform.counts.Writes++
-	platform.counts.BytesIn += len(object.Value)
-	old, exists := platform.objects[object.Name]
-	if status := condition(request, old, exists); status != http.StatusOK {
-		platform.counts.Refused++
-		platform.mu.Unlock()
-		http.Error(writer, "the condition does not hold", status)
-		return
-	}
-	platform.version++
-	object.Version = platform.version
-	platform.objects[object.Name] = object
-	if remove {
-		delete(platform.objects, object.Name)
-	}
-	platform.log = append(platform.log, dragonflyhatch.Change{Object: object, Deleted: remove})
-	close(platform.changed)
-	platform.changed = make(chan struct{})
 	lost := platform.faults.LoseReplies > 0
 	if lost {
 		platform.faults.LoseReplies--
 	}
+	late := time.Duration(platform.faults.LateWrites)
+	if lost && late > 0 {
+		time.AfterFunc(late, func() {
+			platform.mu.Lock()
+			defer platform.mu.Unlock()
+			apply()
+		})
+		platform.mu.Unlock()
+		loseReply(writer)
+	}
+	object, status := apply()
 	platform.mu.Unlock()
 	if lost {
 		loseReply(writer)
 	}
-	writeJSON(writer, dragonflyhatch.Object{Name: object.Name, Version: object.Version})
+	if status != http.StatusOK {
+		writer.Header().Set("Content-Type", "application/json")
+		writer.WriteHeader(status)
+	}
+	writeJSON(writer, object)
 }
 
-func condition(request *http.Request, old dragonflyhatch.Object, exists bool) int {
-	if request.Header.Get("If-None-Match") == "*" {
-		if exists {
-			return http.StatusPreconditionFailed
-		}
-		return http.StatusOK
+// write creates or replaces an object if its condition holds; the mutex must be
+// held. Beside a 409 it returns the object as it is.
+func (platform *Platform) write(kind string, object StoredObject, create bool) (StoredObject, int) {
+	name := object.Metadata.Name
+	old, exists := platform.objects[kind][name]
+	switch {
+	case create && exists, !create && exists && object.Metadata.Revision != 0 && object.Metadata.Revision != old.Metadata.Revision:
+		platform.counts.Refused++
+		return old, http.StatusConflict
+	case !create && !exists:
+		return StoredObject{}, http.StatusNotFound
+	}
+	platform.counts.BytesIn += len(object.Spec)
+	if exists && string(old.Spec) == string(object.Spec) {
+		return old, http.StatusOK
 	}
+	platform.revision++
+	object.Metadata = Metadata{Name: name, Revision: platform.revision, Created: old.Metadata.Created}
 	if !exists {
-		return http.StatusNotFound
+		object.Metadata.Created = platform.revision
 	}
-	if request.Header.Get("If-Match") != strconv.FormatUint(old.Version, 10) {
-		return http.StatusPreconditionFailed
+	if platform.objects[kind] == nil {
+		platform.objects[kind] = make(map[string]StoredObject)
 	}
-	return http.StatusOK
+	platform.objects[kind][name] = object
+	platform.record(kind, StoredChange{Object: object})
+	return object, http.StatusOK
 }
 
-// Listing is the answer to a list or a watch call.
-type Listing struct {
-	Objects []dragonflyhatch.Object `json:"objects,omitempty"`
-	Changes []dragonflyhatch.Change `json:"changes,omitempty"`
-	Version uint64                  `json:"version"`
+// drop removes an object if its revision is the given one, or any if that is 0;
+// the mutex must be held.
+func (platform *Platform) drop(kind, name string, revision uint64) (StoredObject, int) {
+	old, exists := platform.objects[kind][name]
+	switch {
+	case !exists:
+		return StoredObject{}, http.StatusNotFound
+	case revision != 0 && revision != old.Metadata.Revision:
+		platform.counts.Refused++
+		return old, http.StatusConflict
+	}
+	platform.revision++
+	old.Metadata.Revision = platform.revision
+	delete(platform.objects[kind], name)
+	platform.record(kind, StoredChange{Object: old, Removed: true})
+	return old, http.StatusOK
 }
 
-func (platform *Platform) list(writer http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	prefix := objectName(params, "prefix")
-	platform.mu.Lock()
-	defer platform.mu.Unlock()
-	platform.counts.Reads++
-	listing := Listing{Version: platform.version}
-	for _, name := range slices.Sorted(maps.Keys(platform.objects)) {
-		if strings.HasPrefix(name, prefix) {
-			listing.Objects = append(listing.Objects, platform.objects[name])
-			platform.counts.BytesOut += len(platform.objects[name].Value)
-		}
-	}
-	writeJSON(writer, listing)
+func (platform *Platform) record(kind string, change StoredChange) {
+	platform.log[kind] = append(platform.log[kind], change)
+	platform.wake()
+}
+
+// wake has all waiting watches look again; the mutex must be held.
+func (platform *Platform) wake() {
+	close(platform.changed)
+	platform.changed = make(chan struct{})
 }
 
-func (platform *Platform) watch(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
-	prefix := objectName(params, "prefix")
-	query := request.URL.Query()
-	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+func (platform *Platform) listOrWatch(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
+	kind, query := params.ByName("kind"), request.URL.Query()
+	if !query.Has("watch") {
+		platform.list(writer, kind, query.Get("after"))
+		return
+	}
+	after, err := strconv.ParseUint(query.Get("watch"), 10, 64)
 	if err != nil {
-		http.Error(writer, "bad after", http.StatusBadRequest)
+		http.Error(writer, "bad watch", http.StatusBadRequest)
 		return
 	}
-	wait, err := time.ParseDuration(query.Get("wait"))
+	wait, err := strconv.Atoi(query.Get("wait_ms"))
 	if err != nil {
-		http.Error(writer, "bad wait", http.StatusBadRequest)
+		http.Error(writer, "bad wait_ms", http.StatusBadRequest)
 		return
 	}
+	platform.watch(writer, request, kind, after, time.Duration(wait)*time.Millisecond)
+}
+
+func (platform *Platform) list(writer http.ResponseWriter, kind, after string) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.counts.Reads++
+	page := ObjectPage{Revision: platform.revision}
+	for _, name := range slices.Sorted(maps.Keys(platform.objects[kind])) {
+		if name <= after {
+			continue
+		}
+		if page.HasMore = len(page.Items) == pageSize; page.HasMore {
+			break
+		}
+		page.Items = append(page.Items, platform.objects[kind][name])
+		platform.counts.BytesOut += len(platform.objects[kind][name].Spec)
+	}
+	writeJSON(writer, page)
+}
+
+func (platform *Platform) watch(writer http.ResponseWriter, request *http.Request, kind string, after uint64, wait time.Duration) {
 	platform.mu.Lock()
 	platform.counts.Watches++
 	platform.mu.Unlock()
 	timeout := time.After(wait)
 	for {
-		listing, changed, outage := platform.changesAfter(prefix, after)
-		if outage {
+		page, changed, status := platform.changesAfter(kind, after)
+		switch {
+		case status == http.StatusServiceUnavailable:
 			loseReply(writer)
-		}
-		if len(listing.Changes) > 0 {
-			writeJSON(writer, listing)
+		case status == http.StatusGone:
+			http.Error(writer, "history gone", status)
+			return
+		case len(page.Events) > 0:
+			writeJSON(writer, page)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			writeJSON(writer, listing)
+			writeJSON(writer, page)
 			return
 		case <-request.Context().Done():
 			return
@@ -247,62 +348,69 @@
 	}
 }
 
-func (platform *Platform) changesAfter(prefix string, after uint64) (Listing, <-chan struct{}, bool) {
+func (platform *Platform) changesAfter(kind string, after uint64) (ObjectPage, <-chan struct{}, int) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	listing := Listing{Version: platform.version}
-	if platform.faults.HoldWatches {
-		listing.Version = after
-		return listing, platform.changed, platform.faults.Outage
+	page := ObjectPage{Revision: platform.revision}
+	switch {
+	case platform.faults.Outage:
+		return page, platform.changed, http.StatusServiceUnavailable
+	case platform.faults.HoldWatches:
+		page.Revision = after
+		return page, platform.changed, http.StatusOK
+	case after < platform.oldest:
+		return page, platform.changed, http.StatusGone
 	}
-	first, _ := slices.BinarySearchFunc(platform.log, after+1, func(change dragonflyhatch.Change, version uint64) int {
-		return int(change.Object.Version) - int(version)
-	})
-	for _, change := range platform.log[first:] {
-		if strings.HasPrefix(change.Object.Name, prefix) {
-			listing.Changes = append(listing.Changes, change)
-			platform.counts.BytesOut += len(change.Object.Value)
+	for _, change := range platform.log[kind] {
+		if change.Object.Metadata.Revision > after {
+			page.Events = append(page.Events, change)
+			platform.counts.BytesOut += len(change.Object.Spec)
 		}
 	}
-	return listing, platform.changed, platform.faults.Outage
+	return page, platform.changed, http.StatusOK
 }
 
-func (platform *Platform) listHosts(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+// forgetHistory makes the store forget all changes so far.
+func (platform *Platform) forgetHistory(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	platform.counts.Hosts++
-	if !platform.faults.StaleHosts {
-		platform.shown = platform.laggingHosts(time.Now())
-	}
-	writeJSON(writer, platform.shown)
+	platform.revision++
+	platform.oldest = platform.revision
+	clear(platform.log)
+	platform.wake()
+	writeJSON(writer, platform.oldest)
 }
 
-func (platform *Platform) laggingHosts(now time.Time) []dragonflyhatch.ListedHost {
-	rows := make([]dragonflyhatch.ListedHost, 0, len(platform.hosts))
-	for _, address := range slices.Sorted(maps.Keys(platform.hosts)) {
-		row := platform.hosts[address]
-		if now.Sub(row.since) >= platform.hostLag {
-			rows = append(rows, row.now)
-			continue
-		}
-		if row.before.Address != "" {
-			rows = append(rows, row.before)
-		}
-	}
-	return rows
+// listedHost is a row of the host list as the controls set it.
+type listedHost struct {
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving"`
 }
 
+// setHost registers a replica that is leaving or not; the registration is seen
+// after the stand-in's lag.
 func (platform *Platform) setHost(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
-	var host dragonflyhatch.ListedHost
+	var host listedHost
 	if !readJSON(writer, request, &host) {
 		return
 	}
-	platform.mu.Lock()
-	defer platform.mu.Unlock()
-	platform.version++
-	host.Version = platform.version
-	old := platform.hosts[host.Address]
-	platform.hosts[host.Address] = hostRow{before: old.now, now: host, since: time.Now()}
+	state := "ready"
+	if host.Leaving {
+		state = "draining"
+	}
+	spec, err := json.Marshal(map[string]any{"service": "listed", "address": host.Address, "state": state})
+	if err != nil { // strings always encode
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	time.AfterFunc(platform.hostLag, func() {
+		platform.mu.Lock()
+		defer platform.mu.Unlock()
+		object := StoredObject{Metadata: Metadata{Name: host.Address}, Spec: spec}
+		if _, status := platform.write(serversKind, object, false); status == http.StatusNotFound {
+			platform.write(serversKind, object, true)
+		}
+	})
 	writeJSON(writer, host)
 }
 
@@ -314,8 +422,7 @@
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.faults = faults
-	close(platform.changed) // waiting watches see an outage at once
-	platform.changed = make(chan struct{})
+	platform.wake() // waiting watches see an outage at once
 	writeJSON(writer, faults)
 }
 
