Four daemons follow the store and the others hear from them; hedges count

Now the first four by rank watch, whoever places layers or hears from nobody does too, and gossip carries the latest changes of registrations. TestPlainRequests fails without the change (3 runs, 2 allowed).

--- a/fleet.go
+++ b/fleet.go
@@ -8,7 +8,8 @@
 	CallerAddress string `json:"callerAddress"`
 	PeerAddress   string `json:"peerAddress"`
 	Leaving       bool   `json:"leaving"`
-	Version       uint64 `json:"version"` // raised with each change, also from process to process
+	StoreLost     bool   `json:"storeLost"` // it does not reach the platform's store
+	Version       uint64 `json:"version"`   // raised with each change, also from process to process
 }
 
 // Gossip is what the daemons of a gateway tell each other.
@@ -19,8 +20,16 @@
 	LostReplicas    []string // addresses that do not answer the sender
 	RoutingVersion  uint64
 	ReplicasVersion uint64
-	Leader          string // host that places layers, as far as the sender knows
-	Term            uint64 // of the leader
+	ReplicaNews     []ReplicaChange // the latest, oldest first
+	ReplicaNewsFrom uint64          // version up to which all earlier changes count
+	Leader          string          // host that places layers, as far as the sender knows
+	Term            uint64          // of the leader
+}
+
+// ReplicaChange is one change of a registration.
+type ReplicaChange struct {
+	Replica Replica `json:"replica"` // the id and revision only, if removed
+	Removed bool    `json:"removed,omitempty"`
 }
 
 // SnapshotKind names what a daemon hands to another as a whole.
--- a/hatchforward/pace.go
+++ b/hatchforward/pace.go
@@ -27,6 +27,8 @@
 				return
 			}
 			node.Paced(time.Now(), report.Pace)
+			forwarder.logger.Debug("engine reports", "address", node.Address, "held", node.Held, "pace", report.Pace,
+				"queued", report.Queued, "running", report.Running, "kvUsed", report.KVUsed, "kvTotal", report.KVTotal)
 			if report.Pace >= slowPace {
 				forwarder.logger.Warn("engine is slow", "address", node.Address, "pace", report.Pace)
 			}
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -63,7 +63,7 @@
 			case done:
 				call.pass(result.reply)
 				return
-			case failure == nil: // another attempt is to follow
+			case failure == nil && running < call.attempts.RunsLeft(): // another attempt is to follow
 				if start() == nil {
 					continue
 				}
@@ -213,7 +213,7 @@
 // failed takes a failed attempt. It returns nil if another one is to follow.
 func (call *call) failed(now time.Time, failure *dragonflyhatch.Failure, culprits ...string) error {
 	call.forwarder.meters.retried(failure.Kind)
-	call.logger.Info("attempt failed", "reason", failure.Error(), "elapsed", now.Sub(call.begun))
+	call.logger.Info("attempt failed", "reason", failure.Error(), "culprits", culprits, "elapsed", now.Sub(call.begun))
 	return call.attempts.Failed(now, failure, culprits, call)
 }
 
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -40,6 +40,7 @@
 	unframed                // answers without a length
 	unframedReset           // the same, and resets
 	mute                    // runs it and never answers
+	failsLate               // runs it and answers 500 after a hedge was sent
 	forges                  // answers another request
 	unsealed                // answers without its seal
 	extra                   // answers, and once more
@@ -151,6 +152,9 @@
 		io.WriteString(conn, head+"Content-Length: 5\r\n\r\nhello")
 	case fails:
 		io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nServer-Seal: seal\r\nAttempt-Id: "+id+"\r\nContent-Length: 3\r\n\r\nbad")
+	case failsLate:
+		time.Sleep(80 * time.Millisecond)
+		io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nServer-Seal: seal\r\nAttempt-Id: "+id+"\r\nContent-Length: 3\r\n\r\nbad")
 	case sheds:
 		io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	case busyUnsaid:
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -50,6 +50,7 @@
 			return
 		}
 		failure, culprits := stream.run(pipeline)
+		stream.logger.Debug("stream attempt", "stages", pipeline.Stages, "resumed", stream.headSent, "failure", failure)
 		if failure == nil {
 			return
 		}
@@ -135,6 +136,9 @@
 	response := opened.response
 	facts := stream.forwarder.dialect.Reply(response.StatusCode, response.Header)
 	head.Reached(time.Now())
+	if facts.Load != nil {
+		head.Loaded(time.Now(), *facts.Load)
+	}
 	if response.StatusCode == http.StatusOK && isEventStream(response.Header) {
 		if !facts.Sealed || facts.ID != "" && facts.ID != stream.facts.ID {
 			return stream.lostAttempt(pipeline, watch, errors.New("the answer is not the replica's own"))
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -41,7 +41,12 @@
 	prefix := follower.kind() + "/"
 	pause, away := retryPause, false
 	for ctx.Err() == nil {
+		if !gateway.followsStore(time.Now()) {
+			gateway.pause(ctx, dutyCheck)
+			continue
+		}
 		objects, version, err := gateway.store.List(ctx, prefix)
+		gateway.storeAnswered(err == nil)
 		if err == nil {
 			follower.listed(objects, version, away)
 			if away {
@@ -53,6 +58,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errOffDuty) {
+			continue
+		}
 		if errors.Is(err, dragonflyhatch.ErrHistoryGone) {
 			gateway.logger.Info("store forgot its history", "kind", follower.kind())
 			continue // a watch of another kind may still be silent: see poll
@@ -66,6 +74,9 @@
 	}
 }
 
+// errOffDuty ends a watch of a daemon that need not follow the store any more.
+var errOffDuty = errors.New("other daemons follow the store")
+
 // watch passes changes on until a watch fails.
 func (gateway *Gateway) watch(ctx context.Context, follower follower, prefix string, version uint64) error {
 	for {
@@ -78,6 +89,9 @@
 			follower.changed(changes, version)
 			gateway.pause(ctx, watchPause)
 		}
+		if !gateway.followsStore(time.Now()) {
+			return errOffDuty
+		}
 	}
 }
 
@@ -200,31 +214,23 @@
 	now := time.Now()
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
-	urgent := false
 	for _, change := range changes {
 		follower.change(change, now)
-		urgent = urgent || change.Deleted || isLeaving(change.Object)
 	}
 	follower.replicas.saw(version)
 	follower.replicas.expire(now)
 	follower.rebuild()
-	if urgent {
-		go follower.tellNews()
-	}
-}
-
-// isLeaving says whether the object registers a replica that is leaving.
-func isLeaving(object dragonflyhatch.Object) bool {
-	replica, err := platform.DecodeReplica(object)
-	return err == nil && replica.Leaving
+	go follower.tellNews()
 }
 
 func (follower replicaFollower) change(change dragonflyhatch.Change, now time.Time) {
 	object := change.Object
 	id := object.Name[len(platform.ReplicaKind)+1:]
+	removed := dragonflyhatch.ReplicaChange{Replica: dragonflyhatch.Replica{ID: id, Revision: object.Version}, Removed: true}
 	if change.Deleted {
 		follower.logger.Info("replica gone", "replica", id, "revision", object.Version)
 		follower.replicas.remove(id, object.Version, now)
+		follower.replicas.note(removed, now)
 		return
 	}
 	replica, err := platform.DecodeReplica(object)
@@ -232,11 +238,13 @@
 		// An entry that cannot be read names no replica to use.
 		follower.logger.Warn("registration not read", "object", object.Name, "error", err)
 		follower.replicas.remove(id, object.Version, now)
+		follower.replicas.note(removed, now)
 		return
 	}
 	follower.logger.Info("replica registered", "replica", id, "service", replica.Service, "address", replica.Address,
 		"leaving", replica.Leaving, "first", replica.Held.First, "end", replica.Held.End, "revision", replica.Revision)
 	follower.replicas.put(replica)
+	follower.replicas.note(dragonflyhatch.ReplicaChange{Replica: replica}, now)
 }
 
 // encodeReplicas returns the replicas as JSON for a peer; the mutex must be
@@ -265,4 +273,5 @@
 	gateway.replicas.replace(list, version, time.Now())
 	gateway.replicas.version = max(gateway.replicas.version, version)
 	gateway.rebuild()
+	go gateway.tellNews()
 }
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -49,6 +49,8 @@
 	lost     map[string]time.Time // addresses found unreachable, by when
 	reports  lossReports
 	leader   leadership
+
+	lastHeard time.Time // when a peer last answered or called
 }
 
 // snapshot is a value as it was read, with its version.
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -99,6 +99,7 @@
 		Leader:          gateway.leader.host,
 		Term:            gateway.leader.term,
 	}
+	gossip.ReplicaNews, gossip.ReplicaNewsFrom = gateway.replicas.news(now)
 	for address, since := range gateway.lost {
 		if now.Sub(since) > lostTold {
 			delete(gateway.lost, address)
@@ -121,6 +122,7 @@
 func (gateway *Gateway) take(gossip dragonflyhatch.Gossip) {
 	now := time.Now()
 	gateway.mu.Lock()
+	gateway.lastHeard = now
 	for _, member := range append(gossip.Members, gossip.From) {
 		if gateway.roster.Heard(member) {
 			gateway.logger.Info("daemon heard of", "host", member.Host, "process", member.Process,
@@ -136,8 +138,16 @@
 		gateway.reports.add(address, gossip.From.Host, now)
 	}
 	gateway.countDaemons()
+	news := gateway.replicas.follow(gossip.ReplicaNews, gossip.ReplicaNewsFrom, now)
+	if news {
+		gateway.logger.Info("replicas heard of", "host", gossip.From.Host, "version", gateway.replicas.version)
+		gateway.rebuild()
+	}
 	gateway.mu.Unlock()
 
+	if news {
+		go gateway.tellNews()
+	}
 	for _, member := range toCall {
 		go gateway.gossipWith(context.Background(), member)
 	}
--- a/hatchgateway/poll.go
+++ b/hatchgateway/poll.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"dragonflyhatch"
 	"dragonflyhatch/platform"
 )
 
@@ -12,31 +15,28 @@
 	// pollers beside each other a change is seen in a part of that, well within
 	// the bounds on drains and configurations.
 	pollInterval = 900 * time.Millisecond
-	// pollers is the number of daemons that poll, so that the loss of one or two
-	// of their ways to the store leaves one.
+	// pollers is the number of daemons that poll, of those that follow the store:
+	// the loss of one or two of their ways to it leaves one.
 	pollers = 3
-	// pollRank is the name by which daemons are ranked for polling.
-	pollRank = "poll"
 )
 
 // poll reads the store now and then beside the watches, which may hear nothing
-// for seconds though the store serves. Few daemons poll; the others hear of
-// changes by gossip.
+// for seconds though the store serves.
 func (gateway *Gateway) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		gateway.pause(ctx, pollInterval)
 		gateway.mu.Lock()
-		rank := gateway.roster.Rank(pollRank)
+		rank := gateway.roster.Rank(storeDuty)
 		gateway.mu.Unlock()
-		if rank < 0 || rank >= pollers {
-			continue
+		if rank >= 0 && rank < pollers {
+			gateway.pollOnce(ctx)
 		}
-		gateway.pollOnce(ctx)
 	}
 }
 
 func (gateway *Gateway) pollOnce(ctx context.Context) {
 	object, err := gateway.store.Get(ctx, platform.RoutingName)
+	gateway.storeAnswered(err == nil || errors.Is(err, dragonflyhatch.ErrObjectMissing))
 	if err != nil {
 		gateway.logger.Debug("poll failed", "error", err) // the watches tell when the store is lost
 		return
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -20,8 +20,24 @@
 	byID     map[string]dragonflyhatch.Replica
 	missing  map[string]time.Time // when to forget replicas that a listing lacked
 	awayTill time.Time            // until then removals may be of replicas that live
+	recent   []recentChange       // for peers, oldest first
+	recentOf uint64               // version that the recent changes follow on
 }
 
+// recentChange is a change that peers may not know yet.
+type recentChange struct {
+	dragonflyhatch.ReplicaChange
+	at time.Time
+}
+
+const (
+	// newsAge is how long a change is told to peers as such: some rounds of
+	// gossip. A peer that has missed it asks for all replicas.
+	newsAge = 2 * time.Second
+	// maxNews bounds the changes in one message.
+	maxNews = 24
+)
+
 func newReplicaSet() replicaSet {
 	return replicaSet{
 		byID:    make(map[string]dragonflyhatch.Replica),
@@ -56,6 +72,53 @@
 	return !ok || known.Revision < replica.Revision
 }
 
+// note keeps a change for peers.
+func (set *replicaSet) note(change dragonflyhatch.ReplicaChange, now time.Time) {
+	set.recent = append(set.recent, recentChange{change, now})
+	set.dropNews(now)
+}
+
+// dropNews forgets old changes and those beyond the bound.
+func (set *replicaSet) dropNews(now time.Time) {
+	for len(set.recent) > maxNews || len(set.recent) > 0 && now.Sub(set.recent[0].at) > newsAge {
+		set.recentOf = max(set.recentOf, set.recent[0].Replica.Revision)
+		set.recent = set.recent[1:]
+	}
+}
+
+// news returns the recent changes and the version that they follow on.
+func (set *replicaSet) news(now time.Time) ([]dragonflyhatch.ReplicaChange, uint64) {
+	set.dropNews(now)
+	var changes []dragonflyhatch.ReplicaChange
+	for _, change := range set.recent {
+		changes = append(changes, change.ReplicaChange)
+	}
+	return changes, set.recentOf
+}
+
+// follow applies a peer's recent changes if all earlier ones are known, and says
+// whether they were news.
+func (set *replicaSet) follow(changes []dragonflyhatch.ReplicaChange, from uint64, now time.Time) bool {
+	if len(changes) == 0 || set.seen < from {
+		return false
+	}
+	news := false
+	for _, change := range changes {
+		if change.Replica.Revision <= set.seen {
+			continue
+		}
+		if change.Removed {
+			set.remove(change.Replica.ID, change.Replica.Revision, now)
+		} else {
+			set.put(change.Replica)
+		}
+		set.note(change, now)
+		news = true
+	}
+	set.saw(set.version)
+	return news
+}
+
 // remove takes the end of a registration.
 func (set *replicaSet) remove(id string, revision uint64, now time.Time) {
 	set.version = max(set.version, revision)
@@ -100,6 +163,9 @@
 			set.miss(id, now)
 		}
 	}
+	if news {
+		set.recent, set.recentOf = nil, set.version // peers must ask for all
+	}
 	set.saw(version)
 	return set.expire(now) || news
 }
--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -58,6 +58,17 @@
 	roster.self.Version++
 }
 
+// SetStoreLost makes the daemon say whether it reaches the store, and returns
+// true if that is a change.
+func (roster *Roster) SetStoreLost(lost bool) bool {
+	if roster.self.StoreLost == lost {
+		return false
+	}
+	roster.self.StoreLost = lost
+	roster.self.Version++
+	return true
+}
+
 // Heard takes what a member has said of itself, by whatever way, and says
 // whether it was news. A description of this host by another process, or of an
 // earlier one with a higher version, makes the daemon raise its own.
@@ -218,12 +229,13 @@
 	return serving
 }
 
-// Rank returns the place of this daemon among those that may place layers, 0 for
-// the first, or -1 if it is leaving. The order differs from name to name.
+// Rank returns the place of this daemon among those that may have the duty of
+// that name, 0 for the first. Daemons that do not reach the store come last. It
+// returns -1 if this daemon is leaving.
 func (roster *Roster) Rank(name string) int {
 	serving := roster.Serving()
 	slices.SortFunc(serving, func(a, b dragonflyhatch.Member) int {
-		return cmp.Compare(weight(name, a.Host), weight(name, b.Host))
+		return cmp.Or(compareBool(a.StoreLost, b.StoreLost), cmp.Compare(weight(name, a.Host), weight(name, b.Host)))
 	})
 	return slices.IndexFunc(serving, func(member dragonflyhatch.Member) bool { return member.Host == roster.self.Host })
 }
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -51,7 +51,10 @@
 	readWeight = 0.3
 	// remoteFill is by how much more of a pipeline's KV memory must be in use in
 	// this daemon's site for a request to go to another one.
-	remoteFill = 0.4
+	remoteFill = 0.15
+	// headLoadAge is how long the head's word on its load counts: about the time
+	// in which this daemon sends it some requests.
+	headLoadAge = time.Second
 	// mixedFill is the same for a pipeline over several sites, whose links must
 	// carry each token's activations.
 	mixedFill = 1.5
@@ -94,11 +97,11 @@
 				continue
 			}
 			local = local || site == query.Site
-			fill := set.fill(found, query.Daemons) + slowWeight*found.slowness(now)
+			fill := set.fill(now, found, query.Daemons) + slowWeight*found.slowness(now)
 			if site != query.Site && !query.AnySite {
 				fill += remoteFill
 			}
-			if site != query.Site || query.AnySite {
+			if query.AnySite {
 				fill += siteSpread * query.Random.Float64()
 			}
 			if fill < bestFill {
@@ -106,7 +109,7 @@
 			}
 		}
 		if !local {
-			if found := set.cover(now, set.all, version, usable); found != nil && set.fill(found, query.Daemons)+mixedFill < bestFill {
+			if found := set.cover(now, set.all, version, usable); found != nil && set.fill(now, found, query.Daemons)+mixedFill < bestFill {
 				best = found
 			}
 		}
@@ -254,17 +257,23 @@
 	return (accelerator.Pace + readWeight*accelerator.ReadFactor) / float64(set.model.Layers)
 }
 
-// fill returns the share in use of the KV memory of the fullest stage. The work
-// of the other daemons is taken to be like this one's.
-func (set *engineSet) fill(cover *cover, daemons int) float64 {
-	fullest := 0.0
+// fill returns the share in use of the KV memory of the fullest stage. What the
+// head has said of its load counts for all stages; without its word the work of
+// the other daemons is taken to be like this one's.
+func (set *engineSet) fill(now time.Time, cover *cover, daemons int) float64 {
+	fullest, least := 0.0, math.Inf(1)
 	for _, stage := range cover.stages {
 		accelerator := set.model.Accelerators[stage.node.Accelerator]
 		if room := KVRoom(set.model, accelerator, stage.node.Held.LayerRange); room > 0 {
 			fullest = max(fullest, float64(stage.node.tokens.Load())*float64(daemons)/room)
+			least = min(least, room)
 		}
 	}
-	return fullest
+	head := cover.stages[0].node.load.Load()
+	if head == nil || now.Sub(head.at) > headLoadAge {
+		return fullest
+	}
+	return float64((head.Running+head.Waiting)*set.model.UsualTokens) / least
 }
 
 // KVRoom returns for how many tokens an engine of the accelerator that holds the
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"time"
@@ -98,6 +99,12 @@
 	for _, member := range gossip.Members {
 		message.Members = append(message.Members, encodeMember(member))
 	}
+	if len(gossip.ReplicaNews) > 0 {
+		news, err := json.Marshal(gossip.ReplicaNews)
+		if err == nil { // plain structs always encode; without news the peer asks
+			message.ReplicaNews, message.ReplicaNewsFrom = news, gossip.ReplicaNewsFrom
+		}
+	}
 	return message
 }
 
@@ -114,6 +121,9 @@
 	for _, member := range message.GetMembers() {
 		gossip.Members = append(gossip.Members, decodeMember(member))
 	}
+	if news := message.GetReplicaNews(); len(news) > 0 && json.Unmarshal(news, &gossip.ReplicaNews) == nil {
+		gossip.ReplicaNewsFrom = message.GetReplicaNewsFrom()
+	}
 	return gossip
 }
 
@@ -125,6 +135,7 @@
 		CallerAddress: member.CallerAddress,
 		PeerAddress:   member.PeerAddress,
 		Leaving:       member.Leaving,
+		StoreLost:     member.StoreLost,
 		Version:       member.Version,
 	}
 }
@@ -137,6 +148,7 @@
 		CallerAddress: member.GetCallerAddress(),
 		PeerAddress:   member.GetPeerAddress(),
 		Leaving:       member.GetLeaving(),
+		StoreLost:     member.GetStoreLost(),
 		Version:       member.GetVersion(),
 	}
 }
