--- a/hatchorder/placement.go
+++ b/hatchorder/placement.go
@@ -345,19 +345,17 @@
 	}
 }
 
-// double has the engines that hold nothing hold layers that only one other
-// holds, from the last layer down: the slowest engines of the chain have those.
+// double has the engines that hold nothing hold the layers that fewest others
+// hold, from the last layer down: the slowest engines of the chain have those.
 func (group *placementGroup) double() {
 	for _, engine := range group.engines {
 		room := group.room(engine, weightShare)
 		if engine.count() > 0 || engine.Busy || room == 0 {
 			continue
 		}
-		single := runs(group.holders(), 1)
-		if len(single) == 0 {
-			return
-		}
-		last := single[len(single)-1]
+		holders := group.holders()
+		fewest := runs(holders, slices.Min(holders))
+		last := fewest[len(fewest)-1]
 		group.place(engine, dragonflyhatch.LayerRange{First: max(last.First, last.End-room), End: last.End})
 	}
 }
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -47,6 +47,9 @@
 	crossingCost = 2
 	// stageCost is that of each further stage, in the same unit.
 	stageCost = 0.1
+	// fillWeight weighs the share of an engine's KV memory that is in use, so that
+	// engines that hold the same layers share the requests.
+	fillWeight = 1
 	// readWeight weighs the time for the prompt against that for the answer.
 	readWeight = 0.3
 	// remoteFill is by how much more of a pipeline's KV memory must be in use in
@@ -92,7 +95,7 @@
 		bestFill := math.Inf(1)
 		local := false // the daemon's own site has a pipeline
 		for _, site := range set.sites {
-			found := set.cover(now, set.bySite[site], version, usable)
+			found := set.cover(now, set.bySite[site], version, query, usable)
 			if found == nil {
 				continue
 			}
@@ -109,7 +112,7 @@
 			}
 		}
 		if !local {
-			if found := set.cover(now, set.all, version, usable); found != nil && set.fill(now, found, query.Daemons)+mixedFill < bestFill {
+			if found := set.cover(now, set.all, version, query, usable); found != nil && set.fill(now, found, query.Daemons)+mixedFill < bestFill {
 				best = found
 			}
 		}
@@ -164,7 +167,7 @@
 
 // cover finds the cheapest cover of the layers by the nodes, by dynamic
 // programming over layer boundaries. It returns nil if there is none.
-func (set *engineSet) cover(now time.Time, nodes []*Node, version int, usable func(*Node) bool) *cover {
+func (set *engineSet) cover(now time.Time, nodes []*Node, version int, query Query, usable func(*Node) bool) *cover {
 	layers := set.model.Layers
 	var spans []span
 	boundary := make([]bool, layers+1)
@@ -175,7 +178,7 @@
 		}
 		one := span{node: node, LayerRange: node.Held.LayerRange}
 		one.End = min(one.End, layers)
-		one.perLayer = set.layerCost(node) * node.Pace(now)
+		one.perLayer = set.layerCost(node) * node.Pace(now) * (1 + fillWeight*set.nodeFill(node, query.Daemons))
 		spans = append(spans, one)
 		boundary[one.First], boundary[one.End] = true, true
 	}
@@ -257,15 +260,29 @@
 	return (accelerator.Pace + readWeight*accelerator.ReadFactor) / float64(set.model.Layers)
 }
 
+// room returns for how many tokens the engine has KV memory over all its layers.
+func (set *engineSet) room(node *Node) float64 {
+	return KVRoom(set.model, set.model.Accelerators[node.Accelerator], node.Held.LayerRange)
+}
+
+// nodeFill returns the share in use of the engine's KV memory, as this daemon's
+// requests tell.
+func (set *engineSet) nodeFill(node *Node, daemons int) float64 {
+	room := set.room(node)
+	if room <= 0 {
+		return 0
+	}
+	return float64(node.tokens.Load()) * float64(daemons) / room
+}
+
 // fill returns the share in use of the KV memory of the fullest stage. What the
 // head has said of its load counts for all stages; without its word the work of
 // the other daemons is taken to be like this one's.
 func (set *engineSet) fill(now time.Time, cover *cover, daemons int) float64 {
 	fullest, least := 0.0, math.Inf(1)
 	for _, stage := range cover.stages {
-		accelerator := set.model.Accelerators[stage.node.Accelerator]
-		if room := KVRoom(set.model, accelerator, stage.node.Held.LayerRange); room > 0 {
-			fullest = max(fullest, float64(stage.node.tokens.Load())*float64(daemons)/room)
+		fullest = max(fullest, set.nodeFill(stage.node, daemons))
+		if room := set.room(stage.node); room > 0 {
 			least = min(least, room)
 		}
 	}
