--- a/cmd/dragonflyhatch/gateway.go
+++ b/cmd/dragonflyhatch/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"dragonflyhatch/hatchaudit"
 	"dragonflyhatch/hatchgateway"
 	"dragonflyhatch/platform"
 )
@@ -40,7 +41,7 @@
 	if command.Bool("debug") {
 		level = slog.LevelDebug
 	}
-	logger := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
+	logger := slog.New(slog.NewJSONHandler(hatchaudit.NewLineWriter(os.Stdout), &slog.HandlerOptions{Level: level}))
 	stop, _, end := stopContexts(ctx)
 	defer end()
 	gateway := hatchgateway.New(settings, hatchgateway.WithLogger(logger))
--- a/hatchforward/answer.go
+++ b/hatchforward/answer.go
@@ -71,9 +71,11 @@
 		name = call.route.Name
 	}
 	call.forwarder.meters.answered(call.route, status, took)
+	line := call.logger.With("route", name, "organisation", call.organisation(), "status", status, "tookMS", took.Milliseconds(),
+		"configuration", call.configuration, "replicas", call.replicas, "at", call.at)
 	if status >= http.StatusBadRequest {
-		call.logger.Warn("request failed", "route", name, "status", status, "took", took, "outcome", outcome)
+		line.Warn("request failed", "outcome", outcome)
 		return
 	}
-	call.logger.Debug("request served", "route", name, "status", status, "took", took)
+	line.Info("request served")
 }
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -121,6 +121,11 @@
 	attempts  *hatchretry.Attempts
 	logger    *slog.Logger
 	ctx       context.Context // done when the caller leaves or the deadline passes
+
+	// What the choices were made on, for the log.
+	configuration uint64
+	replicas      uint64 // version of the registrations
+	at            string // replica, or head of the pipeline, that was chosen last
 }
 
 // defaultTimeout bounds a request whose route states no timeout.
@@ -157,6 +162,7 @@
 	if table == nil {
 		return dragonflyhatch.Fail(dragonflyhatch.KindNotReady, "no configuration yet")
 	}
+	call.configuration = table.Version
 	path, _, _ := strings.Cut(call.request.RequestURI, "?")
 	call.route = table.Route(call.request.Host, path)
 	if call.route == nil {
@@ -230,6 +236,14 @@
 	}
 }
 
+// organisation returns the name of the organisation, or nothing.
+func (call *call) organisation() string {
+	if call.owner == nil {
+		return ""
+	}
+	return call.owner.Name
+}
+
 // callerLeft says whether the caller has closed its connection.
 func (call *call) callerLeft() bool {
 	return call.request.Context().Err() != nil
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -36,6 +36,7 @@
 		}
 		running++
 		tried = append(tried, node.Address)
+		call.at = node.Address
 		go func() { results <- call.sendPlain(ctx, node) }()
 		return nil
 	}
@@ -96,6 +97,7 @@
 // request, and none of those tried unless there is no other.
 func (call *call) chooseService(tried ...string) (*hatchpath.Node, error) {
 	now, view, query := time.Now(), call.forwarder.fleet.View(), call.query()
+	call.replicas = view.Version()
 	failed := query.Exclude
 	query.Exclude = slices.Concat(failed, tried)
 	if node, err := view.Service(now, query); err == nil {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -49,6 +49,7 @@
 			stream.end(call.attempts.End(dragonflyhatch.FailureOf(err)))
 			return
 		}
+		stream.at = pipeline.Nodes[0].Address
 		failure, culprits := stream.run(pipeline)
 		stream.logger.Debug("stream attempt", "stages", pipeline.Stages, "resumed", stream.headSent, "failure", failure)
 		if failure == nil {
@@ -87,9 +88,10 @@
 
 func (stream *stream) choosePath() (*hatchpath.Pipeline, error) {
 	if stream.service.Model != nil {
-		query := stream.query()
+		query, view := stream.query(), stream.forwarder.fleet.View()
 		query.AnySite = stream.headSent
-		return stream.forwarder.fleet.View().Pipeline(time.Now(), query)
+		stream.replicas = view.Version()
+		return view.Pipeline(time.Now(), query)
 	}
 	node, err := stream.chooseService()
 	if err != nil {
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -105,6 +105,7 @@
 	})
 	gateway.seeds.Store(&settings.Seeds)
 	gateway.daemons.Store(1)
+	gateway.registerProcessMeters()
 	gateway.view.Store(hatchpath.NewView(nil, nil, gateway.healths))
 	bounds := settings.Bounds
 	gateway.forwarder = hatchforward.New(gateway, platform.Dialect{},
--- a/hatchgateway/run.go
+++ b/hatchgateway/run.go
@@ -41,7 +41,7 @@
 // Run serves until ctx is done and then stops gracefully.
 func (gateway *Gateway) Run(ctx context.Context) error {
 	gateway.logger.Info("started", "host", gateway.settings.Host, "site", gateway.settings.Site,
-		"process", gateway.roster.Self().Process, "callers", gateway.settings.CallerAddress)
+		"process", gateway.roster.Self().Process, "callers", gateway.settings.CallerAddress, "metrics", gateway.settings.MetricsAddress)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var servers []*server
@@ -52,6 +52,7 @@
 		{"readiness", gateway.settings.ReadyAddress, platform.NewReadiness(gateway.ready)},
 		{"directory", gateway.settings.DirectoryAddress, platform.NewDirectory(gateway.entries)},
 		{"peers", gateway.settings.PeerAddress, hatchpeer.NewFleetHandler(gateway)},
+		{"metrics", gateway.settings.MetricsAddress, gateway.metricsHandler()},
 	} {
 		if each.address == "" {
 			continue
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -16,6 +16,7 @@
 // View is the replicas that may be given work; it never changes.
 type View struct {
 	replicas []dragonflyhatch.Replica // all, also those that are leaving
+	version  uint64                   // of the newest registration
 	byName   map[string][]*Node       // of a service, not leaving
 	engines  map[string]*engineSet
 }
@@ -39,6 +40,7 @@
 	}
 	slices.SortFunc(view.replicas, func(a, b dragonflyhatch.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	for _, replica := range view.replicas {
+		view.version = max(view.version, replica.Revision)
 		if replica.Leaving {
 			continue
 		}
@@ -78,6 +80,11 @@
 	return view.replicas
 }
 
+// Version returns the version of the newest registration in the view.
+func (view *View) Version() uint64 {
+	return view.version
+}
+
 // Node returns the node at the address among the engines of the service, or nil.
 func (view *View) Node(service, address string) *Node {
 	for _, node := range view.byName[service] {
