--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -115,9 +115,10 @@
 	return probeSilent
 }
 
-// check probes the nodes that have not shown lately that they are alive, and
-// returns the addresses of those that are dead.
-func (prober *prober) check(ctx context.Context, nodes []*hatchpath.Node) []string {
+// check probes the nodes that have not shown lately that they are alive, and the
+// one whose connection broke in any case, and returns the addresses of those that
+// are dead. Broken may be nil.
+func (prober *prober) check(ctx context.Context, nodes []*hatchpath.Node, broken *hatchpath.Node) []string {
 	var culprits []string
 	var probed []*hatchpath.Node
 	for _, node := range nodes {
@@ -125,7 +126,7 @@
 		switch {
 		case node.DownFor(now) > 0: // another stream has found it
 			culprits = append(culprits, node.Address)
-		case node.SinceReached(now) >= probeAge && node.TakeProbe(now):
+		case node == broken, node.SinceReached(now) >= probeAge && node.TakeProbe(now):
 			probed = append(probed, node)
 		}
 	}
@@ -207,5 +208,5 @@
 	if node == nil || node.Down(now) || node.SinceReached(now) < recheckAge {
 		return
 	}
-	go forwarder.prober.check(context.Background(), []*hatchpath.Node{node})
+	go forwarder.prober.check(context.Background(), []*hatchpath.Node{node}, nil)
 }
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -233,7 +233,7 @@
 		failure.Detail = reason
 	}
 	if len(culprits) == 0 {
-		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes)
+		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes, pipeline.Nodes[0])
 	}
 	if len(culprits) == 0 {
 		culprits = []string{pipeline.Nodes[0].Address}
@@ -440,7 +440,7 @@
 		return
 	}
 	watch.stream.forwarder.meters.stalls.Inc(1)
-	culprits := watch.stream.forwarder.prober.check(watch.stream.ctx, watch.pipeline.Nodes)
+	culprits := watch.stream.forwarder.prober.check(watch.stream.ctx, watch.pipeline.Nodes, nil)
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	if watch.stopped || watch.since != since {
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -46,7 +46,6 @@
 	roster   *hatchmember.Roster
 	routing  snapshot
 	replicas replicaSet
-	lost     map[string]time.Time // addresses found unreachable, by when
 	reports  lossReports
 	leader   leadership
 
@@ -88,7 +87,6 @@
 		healths:  hatchpath.NewHealths(),
 		hasTable: make(chan struct{}),
 		replicas: newReplicaSet(),
-		lost:     make(map[string]time.Time),
 		reports:  make(lossReports),
 	}
 	for _, option := range options {
@@ -141,14 +139,8 @@
 	return max(int(gateway.daemons.Load()), 1)
 }
 
-// lostTold is how long peers are told of an unreachable replica.
-const lostTold = 2 * time.Second
-
-// Lost notes that a replica was found unreachable, to warn the peers.
+// Lost notes that a replica was found unreachable, and warns the peers.
 func (gateway *Gateway) Lost(replica dragonflyhatch.Replica) {
 	gateway.logger.Warn("replica unreachable", "replica", replica.ID, "address", replica.Address, "service", replica.Service)
-	gateway.mu.Lock()
-	gateway.lost[replica.Address] = time.Now()
-	gateway.mu.Unlock()
 	go gateway.tellNews()
 }
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -16,6 +16,8 @@
 	gossipInterval = 400 * time.Millisecond
 	// gossipTimeout bounds one exchange, which takes some milliseconds.
 	gossipTimeout = 300 * time.Millisecond
+	// maxLostTold bounds the unreachable replicas in one message.
+	maxLostTold = 32
 	// behindTime is how long a peer may know newer replicas before they are
 	// fetched from it: usually the store tells all at once.
 	behindTime = 250 * time.Millisecond
@@ -100,13 +102,7 @@
 		Term:            gateway.leader.term,
 	}
 	gossip.ReplicaNews, gossip.ReplicaNewsFrom = gateway.replicas.news(now)
-	for address, since := range gateway.lost {
-		if now.Sub(since) > lostTold {
-			delete(gateway.lost, address)
-			continue
-		}
-		gossip.LostReplicas = append(gossip.LostReplicas, address)
-	}
+	gossip.LostReplicas = gateway.View().Unreachable(now, maxLostTold)
 	return gossip
 }
 
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"dragonflyhatch"
 )
@@ -95,6 +97,20 @@
 	return nil
 }
 
+// Unreachable returns the addresses of at most so many replicas that do not
+// accept connections.
+func (view *View) Unreachable(now time.Time, most int) []string {
+	var addresses []string
+	for _, name := range slices.Sorted(maps.Keys(view.byName)) {
+		for _, node := range view.byName[name] {
+			if node.DownFor(now) > 0 && len(addresses) < most {
+				addresses = append(addresses, node.Address)
+			}
+		}
+	}
+	return addresses
+}
+
 // At returns the node at the address among all that may be given work, or nil.
 func (view *View) At(address string) *Node {
 	for _, nodes := range view.byName {
