--- a/cmd/dragonflyhatch/gateway.go
+++ b/cmd/dragonflyhatch/gateway.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -14,6 +15,10 @@
 	"dragonflyhatch/platform"
 )
 
+// memoryShare is the share of the machine's memory that the collector aims at; a
+// process beyond the whole of it is killed, received bytes included.
+const memoryShare = 0.6
+
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "gateway",
@@ -42,6 +47,7 @@
 		level = slog.LevelDebug
 	}
 	logger := slog.New(slog.NewJSONHandler(hatchaudit.NewLineWriter(os.Stdout), &slog.HandlerOptions{Level: level}))
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
 	stop, _, end := stopContexts(ctx)
 	defer end()
 	gateway := hatchgateway.New(settings, hatchgateway.WithLogger(logger))
