--- a/hatchentry/control.go
+++ b/hatchentry/control.go
@@ -69,7 +69,7 @@
 	Drains               []dragonflyhatch.Drain `json:"drains"`
 }
 
-// NewOperators returns the handler of the operators' interface; docs/OPERATORS.md
+// NewOperators returns the handler of the operators' interface; docs/OPERATIONS.md
 // describes it.
 func NewOperators(control Control, maxBody int) http.Handler {
 	operators := &operators{control: control, maxBody: maxBody}
