--- a/hatchorder/placement_test.go
+++ b/hatchorder/placement_test.go
@@ -208,7 +208,8 @@
 		if placement.Layers.First < 0 || placement.Layers.End > mixedModel.Layers || size <= 0 {
 			t.Fatalf("%s is to hold %v", placement.Replica.ID, placement.Layers)
 		}
-		if size > standInShare*mixedModel.Accelerators[placement.Replica.Accelerator].MemoryMB {
+		memory := mixedModel.Accelerators[placement.Replica.Accelerator].MemoryMB
+		if size > standInShare*memory || size >= memory {
 			t.Fatalf("%s (%s) is to hold %v", placement.Replica.ID, placement.Replica.Accelerator, placement.Layers)
 		}
 	}
