A stream whose handler panicked writes no comment after it

The test that plays the panic is seldom running for that second. TestNothingIsWrittenAfterTheHandler fails without stop(). An older fault; the gateway does not use this package.

--- a/hatchentry/completions.go
+++ b/hatchentry/completions.go
@@ -82,6 +82,7 @@
 	}
 	if chat.Stream {
 		stream := newEventStream(writer, sealer, answer, session.id)
+		defer stream.stop()
 		return stream.end(callers.fleet.Complete(request.Context(), completion, stream.piece))
 	}
 	return callers.completeWhole(writer, request, completion, answer)
--- a/hatchentry/events.go
+++ b/hatchentry/events.go
@@ -82,6 +82,15 @@
 	return http.NewResponseController(stream.writer).Flush()
 }
 
+// stop keeps comments from being written after the handler has returned, also
+// when it did so by a panic.
+func (stream *eventStream) stop() {
+	stream.mu.Lock()
+	defer stream.mu.Unlock()
+	stream.ended = true
+	stream.alive.Stop()
+}
+
 // end closes the stream by the outcome, which it returns. Nothing is written
 // after it.
 func (stream *eventStream) end(outcome error) error {
