A stream goes on at replicas that have run it, and replicas that are gone do not count

The limit is on replicas that live and not on runs: one that has run the request may run it again.

TestStreams (breaks off at both engines) and TestStreamsKeepToTheirReplicas fail first. The test of a stream that cannot go on had its first engine break off before event 5 only, so that a third run there is whole now; both engines break off at the same event now, with the same assertions.

--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -214,9 +214,14 @@
 
 // failed takes a failed attempt. It returns nil if another one is to follow.
 func (call *call) failed(now time.Time, failure *dragonflyhatch.Failure, culprits ...string) error {
+	call.noteFailed(now, failure, culprits)
+	return call.attempts.Failed(now, failure, culprits, call)
+}
+
+// noteFailed records a failed attempt.
+func (call *call) noteFailed(now time.Time, failure *dragonflyhatch.Failure, culprits []string) {
 	call.forwarder.meters.retried(failure.Kind)
 	call.logger.Info("attempt failed", "reason", failure.Error(), "culprits", culprits, "elapsed", now.Sub(call.begun))
-	return call.attempts.Failed(now, failure, culprits, call)
 }
 
 // giveUp answers after the last attempt: with the replica's own failure if there
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -59,7 +59,7 @@
 			stream.end(dragonflyhatch.Fail(dragonflyhatch.KindDeadlineUnknown, "no whole answer by the deadline"))
 			return
 		}
-		if err := call.failed(time.Now(), failure, culprits...); err != nil {
+		if err := stream.failedAt(pipeline, failure, culprits); err != nil {
 			stream.end(err)
 			return
 		}
@@ -70,6 +70,17 @@
 	}
 }
 
+// failedAt takes a failed attempt at the pipeline. It returns nil if another one
+// is to follow.
+func (stream *stream) failedAt(pipeline *hatchpath.Pipeline, failure *dragonflyhatch.Failure, culprits []string) error {
+	now, head := time.Now(), pipeline.Nodes[0]
+	if !stream.route.Repeatable() {
+		return stream.failed(now, failure, culprits...)
+	}
+	stream.noteFailed(now, failure, culprits)
+	return stream.attempts.RunFailed(now, failure, head.Address, head.DownFor(now) > 0, culprits, stream.call)
+}
+
 // choose returns a pipeline, and waits a while for one.
 func (stream *stream) choose() (*hatchpath.Pipeline, error) {
 	giveUp := time.Now().Add(stream.forwarder.pathWait)
@@ -90,6 +101,10 @@
 	if stream.service.Model != nil {
 		query, view := stream.query(), stream.forwarder.fleet.View()
 		query.AnySite = stream.headSent
+		if only := stream.attempts.Only(); only != nil {
+			query.Heads = only
+			query.Exclude = slices.DeleteFunc(slices.Clone(query.Exclude), func(address string) bool { return slices.Contains(only, address) })
+		}
 		stream.replicas = view.Version()
 		return view.Pipeline(time.Now(), query)
 	}
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -132,8 +132,15 @@
 			convey.So(got.status, convey.ShouldEqual, 503)
 			convey.So(one.runsOf("r2")+two.runsOf("r2"), convey.ShouldEqual, 0)
 		})
-		convey.Convey("A stream that cannot go on does not look whole", func() {
+		convey.Convey("A stream that breaks off at both goes on at the first again", func() {
 			one.streams(breaksOff, 5)
+			two.streams(breaksOff, 8)
+			got := ask(server, "POST", "/stream/", "again")
+			convey.So(got.whole, convey.ShouldBeTrue)
+			convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+		})
+		convey.Convey("A stream that cannot go on does not look whole", func() {
+			one.streams(breaksOff, 6)
 			two.streams(breaksOff, 6)
 			got := ask(server, "POST", "/stream/", "x")
 			convey.So(got.whole, convey.ShouldBeFalse)
@@ -145,6 +152,34 @@
 	})
 }
 
+func TestStreamsKeepToTheirReplicas(t *testing.T) {
+	convey.Convey("Given a route whose requests may run on two replicas, and four engines", t, func() {
+		engines := []*fakeReplica{newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2"), newFakeReplica(t, "e-3"), newFakeReplica(t, "e-4")}
+		server := front(t, newFleet("lm", engines...))
+		convey.Convey("A stream that breaks off at two engines does not run on a third", func() {
+			for _, engine := range engines {
+				engine.streams(breaksOff, 6)
+			}
+			got := ask(server, "POST", "/stream/", "s")
+			convey.So(got.whole, convey.ShouldBeFalse)
+			used := 0
+			for _, engine := range engines {
+				used += min(engine.runsOf("s"), 1)
+			}
+			convey.So(used, convey.ShouldEqual, 2)
+		})
+		convey.Convey("Engines that are gone do not count", func() {
+			engines[0].streams(goesSilent, 4)
+			engines[1].streams(goesSilent, 8)
+			engines[2].streams(goesSilent, 8)
+			engines[3].streams(ends, 0)
+			got := ask(server, "POST", "/stream/", "g")
+			convey.So(got.whole, convey.ShouldBeTrue)
+			convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+		})
+	})
+}
+
 // TestEventsOnceAndInOrder plays streams over engines that misbehave at random.
 // Whatever reaches the caller is a beginning of the stream that ends with a whole
 // event, and a whole answer is the whole stream.
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -15,11 +15,17 @@
 	Site    string   // of this daemon
 	Tokens  int      // of prompt and answer
 	Exclude []string // addresses that have failed this request
+	Heads   []string // addresses that may run the first stage; all if empty
 	Daemons int      // that send work to the same engines, 1 at least
 	Random  *rand.Rand
 	AnySite bool // no site is preferred: many requests look for a new pipeline at once
 }
 
+// mayHead says whether the node may run the first stage.
+func (query *Query) mayHead(node *Node) bool {
+	return len(query.Heads) == 0 || slices.Contains(query.Heads, node.Address)
+}
+
 // Pipeline is a choice: stages that cover the layers once and in order.
 type Pipeline struct {
 	Stages []dragonflyhatch.Stage
@@ -192,6 +198,9 @@
 			continue
 		}
 		for i := range spans {
+			if at == 0 && !query.mayHead(spans[i].node) {
+				continue
+			}
 			set.extend(steps, boundary, at, &spans[i])
 		}
 	}
--- a/hatchpath/pipeline_test.go
+++ b/hatchpath/pipeline_test.go
@@ -96,6 +96,16 @@
 			_, err = view.Pipeline(start, query("b1:1", "a1:1"))
 			convey.So(dragonflyhatch.KindOf(err), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
 		})
+		convey.Convey("A request that is limited to some heads begins at one of them, or nowhere", func() {
+			limited := query()
+			limited.Heads = []string{"b1:1"}
+			pipeline, err := view.Pipeline(start, limited)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "b1")
+			limited.Heads = []string{"a2:1"}
+			_, err = view.Pipeline(start, limited)
+			convey.So(dragonflyhatch.KindOf(err), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
+		})
 		convey.Convey("An engine that is leaving gets nothing", func() {
 			replicas[0].Leaving = true
 			pipeline, err := NewView(replicas, testServices(10), healths).Pipeline(start, query())
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -1,6 +1,7 @@
 package hatchretry
 
 import (
+	"slices"
 	"time"
 
 	"dragonflyhatch"
@@ -33,6 +34,7 @@
 	maxRuns  int
 	maybeRan bool // some attempt may have run
 	excluded []string
+	ranAt    []string // replicas that may have run it and are not gone, for RunFailed
 }
 
 // Option limits attempts.
@@ -70,6 +72,15 @@
 	return attempts.excluded
 }
 
+// Only returns the replicas to which further attempts are limited because no
+// more may run the request, or nil if there is no such limit.
+func (attempts *Attempts) Only() []string {
+	if len(attempts.ranAt) < attempts.maxRuns {
+		return nil
+	}
+	return attempts.ranAt
+}
+
 // Forgive empties the list of excluded addresses.
 func (attempts *Attempts) Forgive() {
 	attempts.excluded = nil
@@ -85,11 +96,32 @@
 // they are known. It returns nil if another attempt is to follow; budget is asked
 // once for it.
 func (attempts *Attempts) Failed(now time.Time, failure *dragonflyhatch.Failure, culprits []string, budget Spender) error {
-	attempts.count++
 	if failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
 		attempts.maybeRan = true
 		attempts.runs++
 	}
+	return attempts.next(now, failure, culprits, budget)
+}
+
+// RunFailed is Failed for a request that may run any number of times, but on a
+// limited number of replicas: one that has run it may run it again, and one that
+// is gone does not count.
+func (attempts *Attempts) RunFailed(now time.Time, failure *dragonflyhatch.Failure, replica string, gone bool, culprits []string, budget Spender) error {
+	ran := failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown
+	attempts.maybeRan = attempts.maybeRan || ran
+	known := slices.Index(attempts.ranAt, replica)
+	switch {
+	case gone && known >= 0:
+		attempts.ranAt = slices.Delete(attempts.ranAt, known, known+1)
+	case ran && !gone && known < 0:
+		attempts.ranAt = append(attempts.ranAt, replica)
+	}
+	return attempts.next(now, failure, culprits, budget)
+}
+
+// next decides whether another attempt follows the failure.
+func (attempts *Attempts) next(now time.Time, failure *dragonflyhatch.Failure, culprits []string, budget Spender) error {
+	attempts.count++
 	attempts.excluded = append(attempts.excluded, culprits...)
 	switch {
 	case !now.Before(attempts.deadline):
