--- a/cmd/dragonflyhatch/gateway.go
+++ b/cmd/dragonflyhatch/gateway.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -28,12 +29,18 @@
 			platform.SettingsVariable + " names it. SIGTERM starts a graceful stop.",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "debug", Usage: "log debug messages too"},
+			&cli.DurationFlag{Name: "clock-step", Usage: "shift the time of day, as the soak does", Hidden: true},
 		},
 		Action: runGateway,
 	}
 }
 
 func runGateway(ctx context.Context, command *cli.Command) error {
+	// Signals are caught before anything else: one that is not ends the process.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	stop, _, end := stopContexts(ctx)
+	defer end()
 	path := command.Args().First()
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
@@ -48,11 +55,9 @@
 	}
 	logger := slog.New(slog.NewJSONHandler(hatchaudit.NewLineWriter(os.Stdout), &slog.HandlerOptions{Level: level}))
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
-	stop, _, end := stopContexts(ctx)
-	defer end()
-	gateway := hatchgateway.New(settings, hatchgateway.WithLogger(logger))
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
+	step := command.Duration("clock-step")
+	gateway := hatchgateway.New(settings, hatchgateway.WithLogger(logger),
+		hatchgateway.WithClock(func() time.Time { return time.Now().Add(step) }))
 	go func() {
 		for range reloads {
 			reload(gateway, path, logger)
--- a/cmd/dragonflyhatch/main.go
+++ b/cmd/dragonflyhatch/main.go
@@ -64,6 +64,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			gatewayCommand(),
+			soakCommand(),
 			configCommand(),
 			drainCommand(),
 			statusCommand(),
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -27,6 +27,8 @@
 	registry metrics.Registry
 	random   *rand.Rand
 
+	timeOfDay func() time.Time
+
 	store   dragonflyhatch.Platform
 	engines dragonflyhatch.EngineControl
 	peers   *hatchpeer.FleetClient
@@ -66,6 +68,12 @@
 	return func(gateway *Gateway) { gateway.logger = logger }
 }
 
+// WithClock sets the time of day, from which the versions of what a daemon says
+// of itself start; everything else goes by the process's own time.
+func WithClock(now func() time.Time) Option {
+	return func(gateway *Gateway) { gateway.timeOfDay = now }
+}
+
 // sharedRandom draws from the process's generator, which may be used by several
 // goroutines.
 type sharedRandom struct{}
@@ -86,20 +94,21 @@
 		peers:    hatchpeer.NewFleetClient(gossipTimeout),
 		healths:  hatchpath.NewHealths(),
 		hasTable: make(chan struct{}),
-		replicas: newReplicaSet(),
-		reports:  make(lossReports),
+
+		timeOfDay: time.Now,
+		replicas:  newReplicaSet(),
+		reports:   make(lossReports),
 	}
 	for _, option := range options {
 		option(gateway)
 	}
-	now := time.Now()
 	gateway.roster = hatchmember.NewRoster(dragonflyhatch.Member{
 		Host:          settings.Host,
 		Site:          settings.Site,
 		Process:       uuid.NewString(),
 		CallerAddress: settings.CallerAddress,
 		PeerAddress:   settings.PeerAddress,
-		Version:       uint64(now.UnixMilli()),
+		Version:       uint64(gateway.timeOfDay().UnixMilli()),
 	})
 	gateway.seeds.Store(&settings.Seeds)
 	gateway.daemons.Store(1)
--- a/hatchstandin/layers.go
+++ b/hatchstandin/layers.go
@@ -23,6 +23,8 @@
 	Events        int // of a whole stream
 	EventInterval time.Duration
 	LoadTime      time.Duration // of an order
+	Advertised    string        // address that it registers, such as a proxy's; its own if empty
+	Arrived       func(Arrival) // called for each request that reaches it, unless nil
 }
 
 // LayerEngines is a set of engines that hold ranges of layers and run pipelines
@@ -48,9 +50,9 @@
 	mu       sync.Mutex
 	from, to int // layers held
 	busy     bool
+	leaving  bool
 	orders   int // accepted
 	over     bool
-	runs     map[string]int
 	changed  func()
 }
 
@@ -62,8 +64,13 @@
 		return nil, err
 	}
 	engine := &LayerEngine{
-		spec: spec, set: set, listener: listener, born: time.Now().UnixMilli(),
-		runs: make(map[string]int), changed: changed,
+		spec: spec, set: set, listener: listener, born: time.Now().UnixMilli(), changed: changed,
+	}
+	if engine.spec.Advertised == "" {
+		engine.spec.Advertised = listener.Addr().String()
+	}
+	if engine.spec.Arrived == nil {
+		engine.spec.Arrived = func(Arrival) {}
 	}
 	router := httprouter.New()
 	router.GET("/-/report", engine.report)
@@ -77,8 +84,19 @@
 	return engine, nil
 }
 
-// Address returns where the engine listens.
-func (engine *LayerEngine) Address() string { return engine.listener.Addr().String() }
+// Address returns the address that the engine registers.
+func (engine *LayerEngine) Address() string { return engine.spec.Advertised }
+
+// Socket returns where the engine listens.
+func (engine *LayerEngine) Socket() string { return engine.listener.Addr().String() }
+
+// Leave makes the engine register that it is leaving; it goes on serving.
+func (engine *LayerEngine) Leave() {
+	engine.mu.Lock()
+	engine.leaving = true
+	engine.mu.Unlock()
+	engine.changed()
+}
 
 // Crash ends the engine at once.
 func (engine *LayerEngine) Crash() {
@@ -107,8 +125,8 @@
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
 	entry := map[string]any{
-		"service": engine.spec.Service, "address": engine.listener.Addr().String(), "zone": engine.spec.Zone, "slots": 64,
-		"state": "ready", "route_type": engine.spec.Accelerator, "born": engine.born, "layers": nil,
+		"service": engine.spec.Service, "address": engine.spec.Advertised, "zone": engine.spec.Zone, "slots": 64,
+		"state": stateName(engine.leaving), "route_type": engine.spec.Accelerator, "born": engine.born, "layers": nil,
 	}
 	if engine.to > engine.from {
 		entry["layers"] = map[string]int{"from": engine.from, "to": engine.to, "version": 1}
@@ -166,16 +184,23 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return // the caller left
 	}
+	if refuseOther(writer, request, engine.spec.ID) {
+		return
+	}
 	parts := strings.Split(request.Header.Get("Hop-Count"), ",")
+	arrival := arrivalOf(request)
 	for i, part := range parts {
 		if status := engine.set.check(part, i == 0, engine.Address()); status != http.StatusOK {
 			address, _, _ := strings.Cut(part, "=")
 			writer.Header().Set("Not-Executed", "1")
 			writer.Header().Set("At-Server", address)
 			writer.WriteHeader(status)
+			engine.spec.Arrived(arrival)
 			return
 		}
 	}
+	arrival.Ran = true
+	engine.spec.Arrived(arrival)
 	from, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	if err != nil {
 		from = 0 // a stream from its beginning
@@ -191,7 +216,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
-		fmt.Fprintf(writer, "id: %d\ndata: token %d\n\n", event, event)
+		fmt.Fprintf(writer, "id: %d\ndata: token %d of %s\n\n", event, event, arrival.ID)
 		writer.(http.Flusher).Flush()
 		time.Sleep(engine.spec.EventInterval)
 	}
--- a/hatchstandin/platform.go
+++ b/hatchstandin/platform.go
@@ -370,15 +370,20 @@
 	return page, platform.changed, http.StatusOK
 }
 
-// forgetHistory makes the store forget all changes so far.
 func (platform *Platform) forgetHistory(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(writer, platform.ForgetHistory())
+}
+
+// ForgetHistory makes the store forget all changes so far, and returns the
+// revision up to which it has.
+func (platform *Platform) ForgetHistory() uint64 {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.revision++
 	platform.oldest = platform.revision
 	clear(platform.log)
 	platform.wake()
-	writeJSON(writer, platform.oldest)
+	return platform.oldest
 }
 
 // listedHost is a row of the host list as the controls set it.
@@ -419,11 +424,31 @@
 	if !readJSON(writer, request, &faults) {
 		return
 	}
+	platform.SetFaults(faults)
+	writeJSON(writer, faults)
+}
+
+// SetFaults makes the platform misbehave.
+func (platform *Platform) SetFaults(faults PlatformFaults) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.faults = faults
 	platform.wake() // waiting watches see an outage at once
-	writeJSON(writer, faults)
+}
+
+// Put writes an object without a condition and past all faults.
+func (platform *Platform) Put(kind, name string, spec []byte) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	_, exists := platform.objects[kind][name]
+	platform.write(kind, StoredObject{Metadata: Metadata{Name: name}, Spec: spec}, !exists)
+}
+
+// Remove removes an object, if it exists, past all faults.
+func (platform *Platform) Remove(kind, name string) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.drop(kind, name, 0)
 }
 
 func (platform *Platform) getCounts(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
