A daemon whose part of the retry budget is spent borrows from others

Cause: on a fleet of 102 daemons each has about 6 repeats in 10 s (0.7 of a fifth of its requests and of 497/102).

Ruled out: that a configuration of 1,889 routes keeps the daemon from its streams (the first ends come before it); spending more than 0.7 of the budget, which covers daemons that forget what they spent when they are restarted.

A loan is counted by its lender, so the fleet's sum holds: TestFleetKeepsTheSharedBudget plays loans too. TestSpentBudget and the case in TestSharedBudgetIsUsable are new.

--- /dev/null
+++ b/hatchforward/budget.go
@@ -0,0 +1,71 @@
+package hatchforward
+
+import (
+	"sync"
+	"time"
+
+	"dragonflyhatch/hatchretry"
+)
+
+const (
+	// loanSize is how many repeats are borrowed at a time: the streams that a
+	// daemon loses with one replica.
+	loanSize = 4
+	// loanPause is the pause after a round in which nobody has lent anything, so
+	// that an overload does not turn into questions between daemons.
+	loanPause = 500 * time.Millisecond
+)
+
+// serviceBudget is the daemon's part of the budget of repeats at a service. A
+// part that is spent borrows: daemons lose unequal numbers of streams with a
+// replica.
+type serviceBudget struct {
+	*hatchretry.SharedBudget
+
+	borrowing sync.Mutex
+	nextAsk   time.Time
+}
+
+// budget returns the budget of repeats at the service.
+func (forwarder *Forwarder) budget(service string) *serviceBudget {
+	forwarder.mu.Lock()
+	defer forwarder.mu.Unlock()
+	budget, ok := forwarder.budgets[service]
+	if !ok {
+		budget = &serviceBudget{SharedBudget: hatchretry.NewSharedBudget(forwarder.terms)}
+		forwarder.budgets[service] = budget
+	}
+	return budget
+}
+
+// spend takes one repeat from the service's budget, or one that another daemon
+// lends.
+func (forwarder *Forwarder) spend(service string) bool {
+	budget, daemons := forwarder.budget(service), forwarder.fleet.Daemons()
+	if budget.Spend(time.Now(), daemons) {
+		return true
+	}
+	budget.borrowing.Lock()
+	defer budget.borrowing.Unlock()
+	now := time.Now()
+	if budget.Spend(now, daemons) { // of what was borrowed meanwhile
+		return true
+	}
+	if now.Before(budget.nextAsk) {
+		return false
+	}
+	lent := forwarder.fleet.Borrow(service, loanSize)
+	now = time.Now()
+	if lent == 0 {
+		budget.nextAsk = now.Add(loanPause)
+		return false
+	}
+	budget.Credit(now, lent)
+	return budget.Spend(now, daemons)
+}
+
+// Lend takes up to so many repeats out of this daemon's part of the service's
+// budget for another daemon, and returns how many.
+func (forwarder *Forwarder) Lend(service string, wanted int) int {
+	return forwarder.budget(service).Lend(time.Now(), forwarder.fleet.Daemons(), wanted)
+}
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -26,6 +26,9 @@
 	View() *hatchpath.View
 	// Daemons returns how many daemons share the work, 1 at least.
 	Daemons() int
+	// Borrow asks other daemons for up to so many repeats of the service's budget,
+	// to be spent at once, and returns how many they have lent.
+	Borrow(service string, wanted int) int
 	// Lost is called when a replica is found unreachable.
 	Lost(replica dragonflyhatch.Replica)
 }
@@ -43,7 +46,7 @@
 	engines  dragonflyhatch.EngineControl // nil if engines are not asked for their pace
 
 	mu      sync.Mutex
-	budgets map[string]*hatchretry.SharedBudget // by service
+	budgets map[string]*serviceBudget // by service
 }
 
 // Option changes a forwarder.
@@ -81,7 +84,7 @@
 		dialect:  dialect,
 		terms:    hatchretry.SharedTerms{Ratio: 0.1, Window: 10 * time.Second},
 		logger:   slog.Default(),
-		budgets:  make(map[string]*hatchretry.SharedBudget),
+		budgets:  make(map[string]*serviceBudget),
 		pathWait: defaultPathWait,
 	}
 	for _, option := range options {
@@ -94,18 +97,6 @@
 	return forwarder
 }
 
-// budget returns the budget of repeats at the service.
-func (forwarder *Forwarder) budget(service string) *hatchretry.SharedBudget {
-	forwarder.mu.Lock()
-	defer forwarder.mu.Unlock()
-	budget, ok := forwarder.budgets[service]
-	if !ok {
-		budget = hatchretry.NewSharedBudget(forwarder.terms)
-		forwarder.budgets[service] = budget
-	}
-	return budget
-}
-
 // call is one request of a caller on its way.
 type call struct {
 	forwarder *Forwarder
@@ -215,10 +206,9 @@
 
 // Spend takes one repeat from the budget of the call's service.
 func (call *call) Spend() bool {
-	forwarder := call.forwarder
-	ok := forwarder.budget(call.service.Name).Spend(time.Now(), forwarder.fleet.Daemons())
+	ok := call.forwarder.spend(call.service.Name)
 	if !ok {
-		forwarder.meters.budgetSpent.Inc(1)
+		call.forwarder.meters.budgetSpent.Inc(1)
 		call.logger.Warn("no retry", "reason", "budget spent", "service", call.service.Name)
 	}
 	return ok
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -197,11 +197,17 @@
 	table   *hatchroute.Table
 	view    *hatchpath.View
 	healths *hatchpath.Healths
+	loans   int // that other daemons have for it
 }
 
-func (fleet *fakeFleet) Table() *hatchroute.Table    { return fleet.table }
-func (fleet *fakeFleet) View() *hatchpath.View       { return fleet.view }
-func (fleet *fakeFleet) Daemons() int                { return 1 }
+func (fleet *fakeFleet) Table() *hatchroute.Table { return fleet.table }
+func (fleet *fakeFleet) View() *hatchpath.View    { return fleet.view }
+func (fleet *fakeFleet) Daemons() int             { return 1 }
+func (fleet *fakeFleet) Borrow(_ string, wanted int) int {
+	lent := min(wanted, fleet.loans)
+	fleet.loans -= lent
+	return lent
+}
 func (fleet *fakeFleet) Lost(dragonflyhatch.Replica) {}
 
 const (
@@ -251,9 +257,11 @@
 }
 
 // front is a forwarder at an address.
-func front(t cleaner, fleet Fleet) *httptest.Server {
-	forwarder := New(fleet, platform.Dialect{}, WithSite("site-0"), WithPathWait(50*time.Millisecond), WithLogger(slog.New(slog.DiscardHandler)),
-		WithRetryTerms(hatchretry.SharedTerms{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}))
+func front(t cleaner, fleet Fleet, options ...Option) *httptest.Server {
+	forwarder := New(fleet, platform.Dialect{}, append([]Option{
+		WithSite("site-0"), WithPathWait(50 * time.Millisecond), WithLogger(slog.New(slog.DiscardHandler)),
+		WithRetryTerms(hatchretry.SharedTerms{Ratio: 0.2, Extra: 1000, Window: 10 * time.Second}),
+	}, options...)...)
 	server := httptest.NewServer(forwarder)
 	t.Cleanup(server.Close)
 	return server
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"dragonflyhatch/hatchretry"
 )
 
 const streamEvents = 12
@@ -152,6 +154,27 @@
 	})
 }
 
+func TestSpentBudget(t *testing.T) {
+	convey.Convey("Given a daemon whose part of the budget is nothing, and an engine that breaks streams off", t, func() {
+		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
+		one.streams(breaksOff, 5)
+		two.streams(ends, 0)
+		fleet := newFleet("lm", one, two)
+		server := front(t, fleet, WithRetryTerms(hatchretry.SharedTerms{Window: 10 * time.Second}))
+		convey.Convey("A stream goes on by what another daemon lends", func() {
+			fleet.loans = 1
+			got := ask(server, "POST", "/stream/", "lent")
+			convey.So(got.whole, convey.ShouldBeTrue)
+			convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+		})
+		convey.Convey("Without a loan it is broken off", func() {
+			got := ask(server, "POST", "/stream/", "spent")
+			convey.So(got.whole, convey.ShouldBeFalse)
+			convey.So(two.runsOf("spent"), convey.ShouldEqual, 0)
+		})
+	})
+}
+
 func TestStreamsKeepToTheirReplicas(t *testing.T) {
 	convey.Convey("Given a route whose requests may run on two replicas, and four engines", t, func() {
 		engines := []*fakeReplica{newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2"), newFakeReplica(t, "e-3"), newFakeReplica(t, "e-4")}
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -17,6 +17,9 @@
 type FleetDaemon interface {
 	// ExchangeGossip takes what a peer says and returns the daemon's own.
 	ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip
+	// Lend takes up to so many repeats out of the daemon's part of the service's
+	// budget, and returns how many.
+	Lend(service string, wanted int) int
 	// Snapshot returns the routing or the replicas that the daemon knows, as
 	// JSON, and the version; 0 if it knows none.
 	Snapshot(kind dragonflyhatch.SnapshotKind) (uint64, []byte)
@@ -51,7 +54,15 @@
 	return &SnapshotReply{Version: version, Value: packed, Packed: true}, nil
 }
 
+// Lend gives a peer a part of the daemon's budget.
+func (server *fleetHandler) Lend(_ context.Context, request *LoanRequest) (*LoanReply, error) {
+	return &LoanReply{Lent: int32(server.daemon.Lend(request.GetService(), int(request.GetWanted())))}, nil
+}
+
 const (
+	// loanTimeout bounds a question for a loan: a stream that stands still waits
+	// for it.
+	loanTimeout = 30 * time.Millisecond
 	// snapshotTimeout bounds the transfer of a snapshot: a compressed one of 2,000
 	// routes takes 0.2 s over a link of 14 Mbit/s that several peers use at once.
 	snapshotTimeout = time.Second
@@ -110,6 +121,18 @@
 	return reply.GetVersion(), value, nil
 }
 
+// Borrow asks the daemon at the address for up to so many repeats of the
+// service's budget, and returns how many it has lent.
+func (client *FleetClient) Borrow(ctx context.Context, address, service string, wanted int) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	reply, err := NewFleetProtobufClient("http://"+address, client.http).Lend(ctx, &LoanRequest{Service: service, Wanted: int32(wanted)})
+	if err != nil {
+		return 0, errors.Wrapf(err, "peer %s", address)
+	}
+	return int(reply.GetLent()), nil
+}
+
 func encodeGossip(gossip dragonflyhatch.Gossip) *GossipMessage {
 	message := &GossipMessage{
 		From:            encodeMember(gossip.From),
--- a/hatchpeer/fleet_test.go
+++ b/hatchpeer/fleet_test.go
@@ -51,6 +51,8 @@
 
 func (fixedDaemon) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip { return gossip }
 
+func (fixedDaemon) Lend(string, int) int { return 0 }
+
 func (daemon fixedDaemon) Snapshot(dragonflyhatch.SnapshotKind) (uint64, []byte) {
 	return daemon.version, daemon.value
 }
--- a/hatchretry/shared.go
+++ b/hatchretry/shared.go
@@ -16,6 +16,10 @@
 // of each other lag, and they divide the window at different moments.
 const safetyShare = 0.7
 
+// creditTime is how long what others have lent may be spent: they count it from
+// when they lend it, so that it must not be kept for a later window.
+const creditTime = 200 * time.Millisecond
+
 // SharedTerms are the terms of a budget that a fleet of daemons shares: in any
 // window the repeats of all daemons may be Ratio times the requests and Extra.
 type SharedTerms struct {
@@ -32,7 +36,9 @@
 	epoch time.Time // of the process's own time, which the clock's steps do not touch
 
 	mu       sync.Mutex
-	part     int64 // number of the newest part of the window
+	credit   int       // repeats that others have lent
+	lentAt   time.Time // when the last of them were
+	part     int64     // number of the newest part of the window
 	requests [keptParts]int
 	repeats  [keptParts]int
 }
@@ -55,18 +61,49 @@
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	index := budget.turn(now)
-	if float64(sum(budget.repeats)+1) > budget.allowed(daemons) {
+	if float64(sum(budget.repeats)+1) <= budget.allowed(daemons) {
+		budget.repeats[index]++
+		return true
+	}
+	if budget.credit == 0 || now.Sub(budget.lentAt) > creditTime {
 		return false
 	}
-	budget.repeats[index]++
+	budget.credit-- // the lender has counted it
 	return true
 }
 
+// Lend takes up to so many repeats out of this daemon's part for another one to
+// spend, and returns how many: half of what is left at most.
+func (budget *SharedBudget) Lend(now time.Time, daemons, wanted int) int {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	index := budget.turn(now)
+	lent := max(min(wanted, budget.left(daemons)/2), 0)
+	budget.repeats[index] += lent
+	return lent
+}
+
+// Credit adds repeats that another daemon has lent. They are to be spent at once.
+func (budget *SharedBudget) Credit(now time.Time, lent int) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	if now.Sub(budget.lentAt) > creditTime {
+		budget.credit = 0
+	}
+	budget.credit += lent
+	budget.lentAt = now
+}
+
 // Left returns the repeats that are left in this daemon's part.
 func (budget *SharedBudget) Left(now time.Time, daemons int) int {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	budget.turn(now)
+	return budget.left(daemons)
+}
+
+// left is Left for the window as it is; the mutex must be held.
+func (budget *SharedBudget) left(daemons int) int {
 	return max(int(budget.allowed(daemons))-sum(budget.repeats), 0)
 }
 
--- a/hatchretry/shared_test.go
+++ b/hatchretry/shared_test.go
@@ -32,10 +32,18 @@
 					budget.Earn(now)
 					requests[at]++
 				}
-				if rapid.Bool().Draw(t, "spends") {
-					for budget.Spend(now, daemons) {
-						repeats[at]++
-					}
+				if !rapid.Bool().Draw(t, "spends") {
+					continue
+				}
+				for budget.Spend(now, daemons) {
+					repeats[at]++
+				}
+				lender := budgets[rapid.IntRange(0, daemons-1).Draw(t, "lender")]
+				if lender != budget && rapid.Bool().Draw(t, "borrows") {
+					budget.Credit(now, lender.Lend(now, daemons, rapid.IntRange(0, 10).Draw(t, "wanted")))
+				}
+				for budget.Spend(now, daemons) {
+					repeats[at]++
 				}
 			}
 			from := max(0, at+1-windowSteps)
@@ -68,6 +76,19 @@
 		}
 		convey.So(spent, convey.ShouldEqual, 28)
 		convey.So(budget.Left(now, 10), convey.ShouldEqual, 0)
+
+		convey.Convey("It may spend what others lend, which they cannot spend then, and not for long", func() {
+			other := NewSharedBudget(SharedTerms{Ratio: 0.2, Extra: 400, Window: 10 * time.Second})
+			convey.So(other.Lend(now, 10, 6), convey.ShouldEqual, 6)
+			convey.So(other.Left(now, 10), convey.ShouldEqual, 22)
+			budget.Credit(now, 6)
+			for range 5 {
+				convey.So(budget.Spend(now, 10), convey.ShouldBeTrue)
+			}
+			convey.So(budget.Spend(now.Add(2*creditTime), 10), convey.ShouldBeFalse)
+			convey.So(other.Lend(now, 10, 100), convey.ShouldEqual, 11)
+			convey.So(budget.Lend(now, 10, 1), convey.ShouldEqual, 0)
+		})
 		convey.So(budget.Left(now.Add(11*time.Second), 10), convey.ShouldEqual, 28)
 	})
 }
