Probes that were held up prove nothing; slow streams are probed less

A probe that outlasts its time counts for nothing now, and where nobody in a round answers, a replica that has just shown that it lives must.

A stream that has turned slow was probed at each event: its mean time between events followed too slowly.

--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -24,6 +24,9 @@
 	// probeAge is how long a proof of life counts: longer than the usual time
 	// between two events of a stream, and shorter than eventSilence.
 	probeAge = 40 * time.Millisecond
+	// probeSlack is by how much a probe may outlast its time. One that does was
+	// held up in this daemon, and its silence proves nothing.
+	probeSlack = 15 * time.Millisecond
 	// recheckInterval is the pause between probes of a replica that is down.
 	recheckInterval = 300 * time.Millisecond
 	// recheckAge is how long a proof of life outweighs another daemon's warning.
@@ -33,6 +36,7 @@
 // prober tells whether replicas are alive by opening connections to them.
 type prober struct {
 	fleet Fleet
+	dial  func(ctx context.Context, address string) probeOutcome
 
 	mu      sync.Mutex
 	waiting map[*hatchpath.Health]bool // down, and probed now and then
@@ -42,6 +46,7 @@
 func newProber(fleet Fleet) *prober {
 	return &prober{
 		fleet:   fleet,
+		dial:    dialOnce,
 		waiting: make(map[*hatchpath.Health]bool),
 		watches: make(map[*watch]bool),
 	}
@@ -78,14 +83,17 @@
 	probeAnswered probeOutcome = iota
 	probeRefused               // the address accepts no connections
 	probeSilent                // nothing came back in time
+	probeUnsure                // this daemon was held up itself
 )
 
-// probe opens a connection to the replica.
-func probe(ctx context.Context, node *hatchpath.Node) probeOutcome {
+// probe opens a connection to the replica, and a second one beside it if the
+// first is slow.
+func (prober *prober) probe(ctx context.Context, node *hatchpath.Node) probeOutcome {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	outcomes := make(chan probeOutcome, 2)
-	dial := func() { outcomes <- dialOnce(ctx, node.Address) }
+	dial := func() { outcomes <- prober.dial(ctx, node.Address) }
 	go dial()
 	second := time.NewTimer(secondProbe)
 	defer second.Stop()
@@ -93,9 +101,15 @@
 		select {
 		case outcome := <-outcomes:
 			dials--
-			if outcome != probeSilent || dials == 0 {
+			switch {
+			case outcome != probeSilent:
 				return outcome
+			case dials > 0:
+				continue
+			case time.Since(begun) > probeTimeout+probeSlack:
+				return probeUnsure
 			}
+			return probeSilent
 		case <-second.C:
 			dials++
 			go dial()
@@ -133,18 +147,18 @@
 	outcomes := make([]probeOutcome, len(probed))
 	var group conc.WaitGroup
 	for i, node := range probed {
-		group.Go(func() { outcomes[i] = probe(ctx, node) })
+		group.Go(func() { outcomes[i] = prober.probe(ctx, node) })
 	}
 	group.Wait()
 	if ctx.Err() != nil {
 		return culprits
 	}
-	trusted := trustSilence(outcomes)
+	trusted := prober.trustSilence(ctx, probed, outcomes)
 	for i, node := range probed {
 		switch {
 		case outcomes[i] == probeAnswered:
 			node.Reached(time.Now())
-		case outcomes[i] == probeRefused || trusted:
+		case outcomes[i] == probeRefused, outcomes[i] == probeSilent && trusted:
 			culprits = append(culprits, node.Address)
 			prober.unreachable(node)
 		}
@@ -153,16 +167,23 @@
 }
 
 // trustSilence says whether silence in a round of probes means that replicas are
-// dead. If many are silent at once, it is more likely this daemon or its link
-// that was held up.
-func trustSilence(outcomes []probeOutcome) bool {
-	silent := 0
+// dead. It may as well be this daemon or its link that was held up: then many
+// are silent at once, and so is a replica that has just shown that it is alive.
+func (prober *prober) trustSilence(ctx context.Context, probed []*hatchpath.Node, outcomes []probeOutcome) bool {
+	silent, answered := 0, 0
 	for _, outcome := range outcomes {
-		if outcome == probeSilent {
+		switch outcome {
+		case probeSilent:
 			silent++
+		case probeAnswered:
+			answered++
 		}
 	}
-	return silent <= max(1, len(outcomes)/3)
+	if silent == 0 || answered > 0 && silent <= max(1, len(outcomes)/3) {
+		return true
+	}
+	control := prober.fleet.View().Alive(time.Now(), probed)
+	return control == nil || prober.probe(ctx, control) == probeAnswered
 }
 
 // unreachable leaves the node out until it accepts connections again.
@@ -193,7 +214,7 @@
 		if known == nil || known.Health != node.Health {
 			return
 		}
-		if probe(context.Background(), node) == probeAnswered {
+		if prober.probe(context.Background(), node) == probeAnswered {
 			node.Reached(time.Now())
 			return
 		}
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -342,8 +342,11 @@
 	usualGaps = 2
 	// maxEventSilence bounds that.
 	maxEventSilence = 300 * time.Millisecond
-	// gapWeight is the weight of the newest time between events in its mean.
-	gapWeight = 0.1
+	// gapWeight is the weight of the newest time between events in its mean, and
+	// longGapWeight that of one that is longer than the mean: a stream that has
+	// turned slow must soon look usual, or its replicas are probed at each event.
+	gapWeight     = 0.1
+	longGapWeight = 0.3
 	// nextCheck is the pause until the next check of a stream whose replicas are
 	// all alive.
 	nextCheck = 60 * time.Millisecond
@@ -415,7 +418,11 @@
 	}
 	now := time.Now()
 	if watch.silence != firstSilence || watch.usual > 0 {
-		watch.usual += time.Duration(gapWeight * float64(now.Sub(watch.since)-watch.usual))
+		gap, weight := now.Sub(watch.since), gapWeight
+		if gap > watch.usual {
+			weight = longGapWeight
+		}
+		watch.usual += time.Duration(weight * float64(gap-watch.usual))
 	}
 	watch.since = now
 	watch.silence = min(max(usualGaps*watch.usual, eventSilence), maxEventSilence)
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -122,3 +122,20 @@
 	}
 	return nil
 }
+
+// Alive returns the replica that has shown last that it is alive, beside the
+// given ones; nil if there is none.
+func (view *View) Alive(now time.Time, beside []*Node) *Node {
+	var latest *Node
+	for _, nodes := range view.byName {
+		for _, node := range nodes {
+			if node.Down(now) || slices.ContainsFunc(beside, func(other *Node) bool { return other.Health == node.Health }) {
+				continue
+			}
+			if latest == nil || node.SinceReached(now) < latest.SinceReached(now) {
+				latest = node
+			}
+		}
+	}
+	return latest
+}
