--- a/hatchforward/budget.go
+++ b/hatchforward/budget.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// loanSize is how many repeats are borrowed at a time: the streams that a
-	// daemon loses with one replica.
-	loanSize = 4
 	// loanPause is the pause after a round in which nobody has lent anything, so
 	// that an overload does not turn into questions between daemons.
 	loanPause = 500 * time.Millisecond
@@ -54,14 +51,13 @@
 	if now.Before(budget.nextAsk) {
 		return false
 	}
-	lent := forwarder.fleet.Borrow(service, loanSize)
+	forwarder.fleet.Borrow(service, func(lent int) { budget.Credit(time.Now(), lent) })
 	now = time.Now()
-	if lent == 0 {
-		budget.nextAsk = now.Add(loanPause)
-		return false
+	if budget.Spend(now, daemons) {
+		return true
 	}
-	budget.Credit(now, lent)
-	return budget.Spend(now, daemons)
+	budget.nextAsk = now.Add(loanPause)
+	return false
 }
 
 // Lend takes up to so many repeats out of this daemon's part of the service's
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -26,9 +26,10 @@
 	View() *hatchpath.View
 	// Daemons returns how many daemons share the work, 1 at least.
 	Daemons() int
-	// Borrow asks other daemons for up to so many repeats of the service's budget,
-	// to be spent at once, and returns how many they have lent.
-	Borrow(service string, wanted int) int
+	// Borrow asks other daemons for repeats of the service's budget, to be spent at
+	// once, and calls credit with what they lend. It returns once there is some, or
+	// when there will be none.
+	Borrow(service string, credit func(lent int))
 	// Lost is called when a replica is found unreachable.
 	Lost(replica dragonflyhatch.Replica)
 }
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -203,10 +203,9 @@
 func (fleet *fakeFleet) Table() *hatchroute.Table { return fleet.table }
 func (fleet *fakeFleet) View() *hatchpath.View    { return fleet.view }
 func (fleet *fakeFleet) Daemons() int             { return 1 }
-func (fleet *fakeFleet) Borrow(_ string, wanted int) int {
-	lent := min(wanted, fleet.loans)
-	fleet.loans -= lent
-	return lent
+func (fleet *fakeFleet) Borrow(_ string, credit func(int)) {
+	credit(fleet.loans)
+	fleet.loans = 0
 }
 func (fleet *fakeFleet) Lost(dragonflyhatch.Replica) {}
 
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -60,9 +60,9 @@
 }
 
 const (
-	// loanTimeout bounds a question for a loan: a stream that stands still waits
-	// for it.
-	loanTimeout = 30 * time.Millisecond
+	// loanTimeout bounds a question for a loan, for which a stream that stands
+	// still waits: the time that the smallest machines take for a busy moment.
+	loanTimeout = 100 * time.Millisecond
 	// snapshotTimeout bounds the transfer of a snapshot: a compressed one of 2,000
 	// routes takes 0.2 s over a link of 14 Mbit/s that several peers use at once.
 	snapshotTimeout = time.Second
--- a/hatchretry/shared.go
+++ b/hatchretry/shared.go
@@ -73,12 +73,12 @@
 }
 
 // Lend takes up to so many repeats out of this daemon's part for another one to
-// spend, and returns how many: half of what is left at most.
+// spend, and returns how many: about half of what is left at most.
 func (budget *SharedBudget) Lend(now time.Time, daemons, wanted int) int {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	index := budget.turn(now)
-	lent := max(min(wanted, budget.left(daemons)/2), 0)
+	lent := max(min(wanted, (budget.left(daemons)+1)/2), 0)
 	budget.repeats[index] += lent
 	return lent
 }
