Silence counts only if the daemon could have heard an answer; only what others miss too is gone

While the one processor is busy the timer of a probe fires before the answer that has come is read.

A probe without an answer waits 5 ms more for what has come; if those 5 ms take over 9, it proves nothing. Running out of descriptors proves nothing either.

TestProbes (an answer that has come, silence while the processor is held) and TestStreamsKeepToTheirReplicas fail first.

--- a/cmd/dragonflyhatch/gateway.go
+++ b/cmd/dragonflyhatch/gateway.go
@@ -20,6 +20,11 @@
 // process beyond the whole of it is killed, received bytes included.
 const memoryShare = 0.6
 
+// heapGrowth is by how much the heap may grow between two collections, in percent.
+// A daemon holds some megabytes and allocates little, so that memory saved is
+// worth more than the collector's time.
+const heapGrowth = 30
+
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "gateway",
@@ -54,6 +59,7 @@
 		level = slog.LevelDebug
 	}
 	logger := slog.New(slog.NewJSONHandler(hatchaudit.NewLineWriter(os.Stdout), &slog.HandlerOptions{Level: level}))
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
 	step := command.Duration("clock-step")
 	gateway := hatchgateway.New(settings, hatchgateway.WithLogger(logger),
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -26,6 +26,9 @@
 	View() *hatchpath.View
 	// Daemons returns how many daemons share the work, 1 at least.
 	Daemons() int
+	// Gone says whether the replica at the address has certainly ended or been cut
+	// off: it is not registered any more, or several daemons cannot reach it.
+	Gone(address string) bool
 	// Borrow asks other daemons for repeats of the service's budget, to be spent at
 	// once, and calls credit with what they lend. It returns once there is some, or
 	// when there will be none.
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -24,9 +24,11 @@
 	// probeAge is how long a proof of life counts: longer than the usual time
 	// between two events of a stream, and shorter than eventSilence.
 	probeAge = 40 * time.Millisecond
-	// probeSlack is by how much a probe may outlast its time. One that does was
-	// held up in this daemon, and its silence proves nothing.
-	probeSlack = 15 * time.Millisecond
+	// settleTime is added to a probe without an answer, for answers that have come
+	// and are not read yet, and probeSlack is by how much the addition may be
+	// longer: beyond it this daemon was held up, and silence proves nothing.
+	settleTime = 5 * time.Millisecond
+	probeSlack = 4 * time.Millisecond
 	// recheckInterval is the pause between probes of a replica that is down.
 	recheckInterval = 300 * time.Millisecond
 	// recheckAge is how long a proof of life outweighs another daemon's warning.
@@ -83,38 +85,44 @@
 	probeAnswered probeOutcome = iota
 	probeRefused               // the address accepts no connections
 	probeSilent                // nothing came back in time
-	probeUnsure                // this daemon was held up itself
+	probeUnsure                // this daemon was held up itself, or can open no connection
 )
 
 // probe opens a connection to the replica, and a second one beside it if the
-// first is slow.
+// first is slow. Silence counts only if this daemon could have heard an answer:
+// when its processor is busy, a timer may fire before an answer that has long
+// come is read.
 func (prober *prober) probe(ctx context.Context, node *hatchpath.Node) probeOutcome {
-	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan probeOutcome, 2)
 	dial := func() { outcomes <- prober.dial(ctx, node.Address) }
-	go dial()
-	second := time.NewTimer(secondProbe)
-	defer second.Stop()
-	for dials := 1; ; {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	<-timer.C
+	within := func(wait time.Duration) (probeOutcome, bool) {
+		timer.Reset(wait)
 		select {
 		case outcome := <-outcomes:
-			dials--
-			switch {
-			case outcome != probeSilent:
-				return outcome
-			case dials > 0:
-				continue
-			case time.Since(begun) > probeTimeout+probeSlack:
-				return probeUnsure
-			}
-			return probeSilent
-		case <-second.C:
-			dials++
-			go dial()
+			return outcome, true
+		case <-timer.C:
+			return probeSilent, false
+		}
+	}
+	for _, wait := range []time.Duration{secondProbe, probeTimeout - secondProbe} {
+		go dial()
+		if outcome, ok := within(wait); ok {
+			return outcome
 		}
 	}
+	begun := time.Now()
+	if outcome, ok := within(settleTime); ok {
+		return outcome
+	}
+	if time.Since(begun) > settleTime+probeSlack {
+		return probeUnsure
+	}
+	return probeSilent
 }
 
 func dialOnce(ctx context.Context, address string) probeOutcome {
@@ -125,6 +133,8 @@
 		return probeAnswered
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return probeRefused
+	case errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL):
+		return probeUnsure
 	}
 	return probeSilent
 }
--- a/hatchforward/prober_test.go
+++ b/hatchforward/prober_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,20 +17,18 @@
 type fakeLinks struct {
 	mu     sync.Mutex
 	silent map[string]bool
-	heldUp time.Duration // added to each dial, as by a daemon that does not get the processor
+	late   time.Duration // of the answers
 }
 
 func (links *fakeLinks) dial(ctx context.Context, address string) probeOutcome {
 	links.mu.Lock()
-	silent, heldUp := links.silent[address], links.heldUp
+	silent, late := links.silent[address], links.late
 	links.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-	}
-	time.Sleep(heldUp)
-	if silent {
 		return probeSilent
 	}
+	time.Sleep(late)
 	return probeAnswered
 }
 
@@ -40,6 +40,7 @@
 		prober := newProber(fleet)
 		prober.dial = links.dial
 		pipeline := []*hatchpath.Node{fleet.view.At(one.address()), fleet.view.At(two.address())}
+		time.Sleep(probeAge) // since the process began, when all count as alive
 		fleet.view.At(three.address()).Reached(time.Now())
 		check := func() []string { return prober.check(context.Background(), pipeline, pipeline[0]) }
 		convey.Convey("An engine that is silent while the other answers is dead", func() {
@@ -57,10 +58,37 @@
 			}
 			convey.So(check(), convey.ShouldBeEmpty)
 		})
-		convey.Convey("A probe that was held up in the daemon proves nothing", func() {
+		convey.Convey("An answer that has come and was not read in time counts", func() {
+			links.late = probeTimeout + settleTime/2
+			convey.So(check(), convey.ShouldBeEmpty)
+		})
+		convey.Convey("Silence proves nothing while the daemon does not get the processor", func() {
 			links.silent[one.address()] = true
-			links.heldUp = 2 * probeSlack
+			release := holdProcessor()
+			defer release()
 			convey.So(check(), convey.ShouldBeEmpty)
 		})
 	})
 }
+
+// holdProcessor keeps all goroutines but its own from running most of the time,
+// until it is released.
+func holdProcessor() (release func()) {
+	var done atomic.Bool
+	processors := runtime.GOMAXPROCS(1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for !done.Load() {
+			for begun := time.Now(); time.Since(begun) < 10*time.Millisecond; {
+				continue
+			}
+			runtime.Gosched()
+		}
+	}()
+	return func() {
+		done.Store(true)
+		<-ended
+		runtime.GOMAXPROCS(processors)
+	}
+}
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -198,6 +198,8 @@
 	view    *hatchpath.View
 	healths *hatchpath.Healths
 	loans   int // that other daemons have for it
+
+	believed bool // other daemons cannot reach either what this one cannot
 }
 
 func (fleet *fakeFleet) Table() *hatchroute.Table { return fleet.table }
@@ -207,6 +209,11 @@
 	credit(fleet.loans)
 	fleet.loans = 0
 }
+func (fleet *fakeFleet) Gone(address string) bool {
+	node := fleet.view.At(address)
+	return fleet.believed && node.DownFor(time.Now()) > 0
+}
+
 func (fleet *fakeFleet) Lost(dragonflyhatch.Replica) {}
 
 const (
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -73,12 +73,12 @@
 // failedAt takes a failed attempt at the pipeline. It returns nil if another one
 // is to follow.
 func (stream *stream) failedAt(pipeline *hatchpath.Pipeline, failure *dragonflyhatch.Failure, culprits []string) error {
-	now, head := time.Now(), pipeline.Nodes[0]
+	now := time.Now()
 	if !stream.route.Repeatable() {
 		return stream.failed(now, failure, culprits...)
 	}
 	stream.noteFailed(now, failure, culprits)
-	return stream.attempts.RunFailed(now, failure, head.Address, head.DownFor(now) > 0, culprits, stream.call)
+	return stream.attempts.RunFailed(now, failure, pipeline.Nodes[0].Address, culprits, stream.call)
 }
 
 // choose returns a pipeline, and waits a while for one.
@@ -101,7 +101,7 @@
 	if stream.service.Model != nil {
 		query, view := stream.query(), stream.forwarder.fleet.View()
 		query.AnySite = stream.headSent
-		if only := stream.attempts.Only(); only != nil {
+		if only := stream.attempts.Only(stream.forwarder.fleet.Gone); only != nil {
 			query.Heads = only
 			query.Exclude = slices.DeleteFunc(slices.Clone(query.Exclude), func(address string) bool { return slices.Contains(only, address) })
 		}
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -178,7 +178,8 @@
 func TestStreamsKeepToTheirReplicas(t *testing.T) {
 	convey.Convey("Given a route whose requests may run on two replicas, and four engines", t, func() {
 		engines := []*fakeReplica{newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2"), newFakeReplica(t, "e-3"), newFakeReplica(t, "e-4")}
-		server := front(t, newFleet("lm", engines...))
+		fleet := newFleet("lm", engines...)
+		server := front(t, fleet)
 		convey.Convey("A stream that breaks off at two engines does not run on a third", func() {
 			for _, engine := range engines {
 				engine.streams(breaksOff, 6)
@@ -191,7 +192,8 @@
 			}
 			convey.So(used, convey.ShouldEqual, 2)
 		})
-		convey.Convey("Engines that are gone do not count", func() {
+		convey.Convey("Engines that are gone do not count, if others miss them too", func() {
+			fleet.believed = true
 			engines[0].streams(goesSilent, 4)
 			engines[1].streams(goesSilent, 8)
 			engines[2].streams(goesSilent, 8)
--- a/hatchgateway/reports.go
+++ b/hatchgateway/reports.go
@@ -1,8 +1,10 @@
 package hatchgateway
 
 import (
+	"slices"
 	"time"
 
+	"dragonflyhatch"
 	"dragonflyhatch/hatchpath"
 )
 
@@ -45,9 +47,24 @@
 
 // isLost says whether the replica is unreachable for this daemon and for others.
 func (gateway *Gateway) isLost(address string, health *hatchpath.Health, now time.Time) bool {
-	if health.DownFor(now) <= lostAfter {
-		return false
+	return health.DownFor(now) > lostAfter && gateway.othersMiss(address, now)
+}
+
+// Gone says whether the replica at the address is not registered any more, or is
+// unreachable for this daemon and for others.
+func (gateway *Gateway) Gone(address string) bool {
+	now := time.Now()
+	replicas := gateway.View().Replicas()
+	at := slices.IndexFunc(replicas, func(replica dragonflyhatch.Replica) bool { return replica.Address == address })
+	if at < 0 {
+		return true
 	}
+	return gateway.healths.Of(replicas[at]).DownFor(now) > 0 && gateway.othersMiss(address, now)
+}
+
+// othersMiss says whether enough daemons cannot reach the address, this one
+// included.
+func (gateway *Gateway) othersMiss(address string, now time.Time) bool {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	gateway.reports.add(address, gateway.settings.Host, now)
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -34,7 +34,7 @@
 	maxRuns  int
 	maybeRan bool // some attempt may have run
 	excluded []string
-	ranAt    []string // replicas that may have run it and are not gone, for RunFailed
+	ranAt    []string // replicas that may have run it, as RunFailed was told
 }
 
 // Option limits attempts.
@@ -73,12 +73,19 @@
 }
 
 // Only returns the replicas to which further attempts are limited because no
-// more may run the request, or nil if there is no such limit.
-func (attempts *Attempts) Only() []string {
-	if len(attempts.ranAt) < attempts.maxRuns {
+// more may run the request, or nil if there is no such limit. Those that are gone
+// do not count.
+func (attempts *Attempts) Only(gone func(replica string) bool) []string {
+	var live []string
+	for _, replica := range attempts.ranAt {
+		if !gone(replica) {
+			live = append(live, replica)
+		}
+	}
+	if len(live) < attempts.maxRuns {
 		return nil
 	}
-	return attempts.ranAt
+	return live
 }
 
 // Forgive empties the list of excluded addresses.
@@ -104,17 +111,13 @@
 }
 
 // RunFailed is Failed for a request that may run any number of times, but on a
-// limited number of replicas: one that has run it may run it again, and one that
-// is gone does not count.
-func (attempts *Attempts) RunFailed(now time.Time, failure *dragonflyhatch.Failure, replica string, gone bool, culprits []string, budget Spender) error {
-	ran := failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown
-	attempts.maybeRan = attempts.maybeRan || ran
-	known := slices.Index(attempts.ranAt, replica)
-	switch {
-	case gone && known >= 0:
-		attempts.ranAt = slices.Delete(attempts.ranAt, known, known+1)
-	case ran && !gone && known < 0:
-		attempts.ranAt = append(attempts.ranAt, replica)
+// limited number of replicas: one that has run it may run it again.
+func (attempts *Attempts) RunFailed(now time.Time, failure *dragonflyhatch.Failure, replica string, culprits []string, budget Spender) error {
+	if failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
+		attempts.maybeRan = true
+		if !slices.Contains(attempts.ranAt, replica) {
+			attempts.ranAt = append(attempts.ranAt, replica)
+		}
 	}
 	return attempts.next(now, failure, culprits, budget)
 }
