--- a/fleet.go
+++ b/fleet.go
@@ -16,6 +16,7 @@
 type Gossip struct {
 	From            Member
 	Members         []Member // some that the sender knows
+	MembersDigest   uint64   // of all of them; equal ones know the same members
 	Suspects        []string // hosts that do not answer the sender
 	LostReplicas    []string // addresses that do not answer the sender
 	RoutingVersion  uint64
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -154,7 +154,7 @@
 		close(gateway.hasTable)
 		return
 	}
-	go gateway.tellNews()
+	gateway.tellNews()
 }
 
 // rebuild replaces the view; the mutex must be held.
@@ -194,7 +194,7 @@
 		return
 	}
 	follower.rebuild()
-	go follower.tellNews()
+	follower.tellNews()
 }
 
 func (follower replicaFollower) decode(objects []dragonflyhatch.Object) []dragonflyhatch.Replica {
@@ -220,7 +220,7 @@
 	follower.replicas.saw(version)
 	follower.replicas.expire(now)
 	follower.rebuild()
-	go follower.tellNews()
+	follower.tellNews()
 }
 
 func (follower replicaFollower) change(change dragonflyhatch.Change, now time.Time) {
@@ -273,5 +273,5 @@
 	gateway.replicas.replace(list, version, time.Now())
 	gateway.replicas.version = max(gateway.replicas.version, version)
 	gateway.rebuild()
-	go gateway.tellNews()
+	gateway.tellNews()
 }
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -43,6 +43,7 @@
 	catchingUp atomic.Bool // from a peer that knows more
 	seeds      atomic.Pointer[[]string]
 	hasTable   chan struct{} // closed once there is a table
+	news       chan struct{} // holds an item while there is news to tell
 
 	mu       sync.Mutex // guards what follows
 	roster   *hatchmember.Roster
@@ -51,7 +52,8 @@
 	reports  lossReports
 	leader   leadership
 
-	lastHeard time.Time // when a peer last answered or called
+	lastHeard     time.Time // when a peer last answered or called
+	membersDiffer bool      // from those of the peer that was called last
 }
 
 // snapshot is a value as it was read, with its version.
@@ -94,6 +96,7 @@
 		peers:    hatchpeer.NewFleetClient(gossipTimeout),
 		healths:  hatchpath.NewHealths(),
 		hasTable: make(chan struct{}),
+		news:     make(chan struct{}, 1),
 
 		timeOfDay: time.Now,
 		replicas:  newReplicaSet(),
@@ -151,5 +154,5 @@
 // Lost notes that a replica was found unreachable, and warns the peers.
 func (gateway *Gateway) Lost(replica dragonflyhatch.Replica) {
 	gateway.logger.Warn("replica unreachable", "replica", replica.ID, "address", replica.Address, "service", replica.Service)
-	go gateway.tellNews()
+	gateway.tellNews()
 }
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -79,22 +79,27 @@
 // exchange sends the daemon's gossip to the address and takes the answer.
 func (gateway *Gateway) exchange(ctx context.Context, address string) error {
 	gateway.mu.Lock()
-	own := gateway.ownGossip()
+	own := gateway.ownGossip(gateway.membersDiffer)
 	gateway.mu.Unlock()
 	answer, err := gateway.peers.Gossip(ctx, address, own)
 	if err != nil {
 		return err
 	}
 	gateway.take(answer)
+	gateway.mu.Lock()
+	gateway.membersDiffer = answer.MembersDigest != gateway.roster.Digest()
+	gateway.mu.Unlock()
 	return nil
 }
 
-// ownGossip returns what the daemon says; the mutex must be held.
-func (gateway *Gateway) ownGossip() dragonflyhatch.Gossip {
+// ownGossip returns what the daemon says to a peer, which may know other members;
+// the mutex must be held.
+func (gateway *Gateway) ownGossip(differs bool) dragonflyhatch.Gossip {
 	now := time.Now()
 	gossip := dragonflyhatch.Gossip{
 		From:            gateway.roster.Self(),
-		Members:         gateway.roster.Tell(gateway.random),
+		Members:         gateway.roster.Tell(gateway.random, differs),
+		MembersDigest:   gateway.roster.Digest(),
 		Suspects:        gateway.roster.Suspects(),
 		RoutingVersion:  gateway.routing.version,
 		ReplicasVersion: gateway.replicas.version,
@@ -111,7 +116,7 @@
 	gateway.take(gossip)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return gateway.ownGossip()
+	return gateway.ownGossip(gossip.MembersDigest != gateway.roster.Digest())
 }
 
 // take merges what a peer says, and looks after what it warns of.
@@ -142,7 +147,7 @@
 	gateway.mu.Unlock()
 
 	if news {
-		go gateway.tellNews()
+		gateway.tellNews()
 	}
 	for _, member := range toCall {
 		go gateway.gossipWith(context.Background(), member)
@@ -168,8 +173,34 @@
 // learnt and others may not hear from the store.
 const toldOfNews = 3
 
-// tellNews exchanges gossip with the leader and some random peers at once.
+// newsPause is the pause between two rounds of telling news, in which more may
+// gather: far below the bounds on drains and configurations.
+const newsPause = 60 * time.Millisecond
+
+// tellNews has the peers told at once that there is news, or soon after the last
+// time.
 func (gateway *Gateway) tellNews() {
+	select {
+	case gateway.news <- struct{}{}:
+	default: // it is about to be told
+	}
+}
+
+// spreadNews tells news until ctx is done.
+func (gateway *Gateway) spreadNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-gateway.news:
+		}
+		gateway.tellPeers(ctx)
+		gateway.pause(ctx, newsPause)
+	}
+}
+
+// tellPeers exchanges gossip with the leader and some random peers.
+func (gateway *Gateway) tellPeers(ctx context.Context) {
 	gateway.mu.Lock()
 	peers := gateway.roster.Peers(gateway.random)
 	leader := gateway.leader.host
@@ -178,7 +209,7 @@
 		peers[0], peers[at] = peers[at], peers[0]
 	}
 	for _, peer := range peers[:min(len(peers), toldOfNews)] {
-		go func() { _ = gateway.exchange(context.Background(), peer.PeerAddress) }() // the next exchange tells it again
+		go func() { _ = gateway.exchange(ctx, peer.PeerAddress) }() // the next exchange tells it again
 	}
 }
 
--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -5,8 +5,11 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dragonflyhatch"
 )
 
@@ -173,9 +176,27 @@
 	return peers
 }
 
-// Tell returns the members to tell in one message: those with news first.
-func (roster *Roster) Tell(random *rand.Rand) []dragonflyhatch.Member {
+// Digest sums up what the daemon knows of all members; two that know the same
+// have the same digest.
+func (roster *Roster) Digest() uint64 {
+	sum := describeSum(roster.self)
+	for _, entry := range roster.members {
+		sum ^= describeSum(entry.Member)
+	}
+	return sum
+}
+
+func describeSum(member dragonflyhatch.Member) uint64 {
+	return xxhash.Sum64String(member.Host + "\x00" + strconv.FormatUint(member.Version, 10))
+}
+
+// Tell returns the members to tell in one message: those with news first, and if
+// the peer may know others than this daemon, random ones too.
+func (roster *Roster) Tell(random *rand.Rand, differs bool) []dragonflyhatch.Member {
 	peers := roster.Peers(random)
+	if !differs {
+		peers = slices.DeleteFunc(peers, func(peer dragonflyhatch.Member) bool { return roster.members[peer.Host].news == 0 })
+	}
 	slices.SortStableFunc(peers, func(a, b dragonflyhatch.Member) int {
 		return cmp.Compare(roster.members[b.Host].news, roster.members[a.Host].news)
 	})
--- a/hatchmember/roster_test.go
+++ b/hatchmember/roster_test.go
@@ -77,7 +77,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(2, 30).Draw(t, "daemons")
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		rosters := make([]*Roster, count)
+		rosters, differs := make([]*Roster, count), make([]bool, count)
 		for i := range rosters {
 			rosters[i] = NewRoster(describe(fmt.Sprintf("h%02d", i), "a", 1))
 			rosters[i].Heard(rosters[0].Self()) // the seed
@@ -92,8 +92,7 @@
 				}
 				var other int
 				fmt.Sscanf(peers[0].Host, "h%02d", &other)
-				gossipBetween(roster, rosters[other], random)
-				_ = i
+				gossipBetween(roster, rosters[other], &differs[i], random)
 			}
 		}
 		if !agree(rosters) {
@@ -102,12 +101,16 @@
 	})
 }
 
-func gossipBetween(a, b *Roster, random *rand.Rand) {
-	toB := append(a.Tell(random), a.Self())
-	toA := append(b.Tell(random), b.Self())
+// gossipBetween has a call b. A caller tells random members only if its last call
+// has shown that others know other members.
+func gossipBetween(a, b *Roster, differs *bool, random *rand.Rand) {
+	toB := append(a.Tell(random, *differs), a.Self())
+	digest := a.Digest()
 	for _, each := range toB {
 		b.Heard(each)
 	}
+	toA := append(b.Tell(random, digest != b.Digest()), b.Self())
+	*differs = b.Digest() != digest
 	for _, each := range toA {
 		a.Heard(each)
 	}
@@ -116,7 +119,7 @@
 func agree(rosters []*Roster) bool {
 	want := fmt.Sprint(hostNames(rosters[0].Serving()))
 	for _, roster := range rosters {
-		if fmt.Sprint(hostNames(roster.Serving())) != want || len(roster.Serving()) != len(rosters)-1 {
+		if fmt.Sprint(hostNames(roster.Serving())) != want || len(roster.Serving()) != len(rosters)-1 || roster.Digest() != rosters[0].Digest() {
 			return false
 		}
 	}
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -136,6 +136,7 @@
 func encodeGossip(gossip dragonflyhatch.Gossip) *GossipMessage {
 	message := &GossipMessage{
 		From:            encodeMember(gossip.From),
+		MembersDigest:   gossip.MembersDigest,
 		Suspects:        gossip.Suspects,
 		LostReplicas:    gossip.LostReplicas,
 		RoutingVersion:  gossip.RoutingVersion,
@@ -158,6 +159,7 @@
 func decodeGossip(message *GossipMessage) dragonflyhatch.Gossip {
 	gossip := dragonflyhatch.Gossip{
 		From:            decodeMember(message.GetFrom()),
+		MembersDigest:   message.GetMembersDigest(),
 		Suspects:        message.GetSuspects(),
 		LostReplicas:    message.GetLostReplicas(),
 		RoutingVersion:  message.GetRoutingVersion(),
