Duties fall to the larger machines; a dial that left late proves nothing

Members say how much processor they have, and the ranks for the store and the lease begin with those that have most. A probe also proves nothing if its first dial did not leave within 4 ms.

--- a/fleet.go
+++ b/fleet.go
@@ -8,8 +8,9 @@
 	CallerAddress string `json:"callerAddress"`
 	PeerAddress   string `json:"peerAddress"`
 	Leaving       bool   `json:"leaving"`
-	StoreLost     bool   `json:"storeLost"` // it does not reach the platform's store
-	Version       uint64 `json:"version"`   // raised with each change, also from process to process
+	StoreLost     bool   `json:"storeLost"`  // it does not reach the platform's store
+	MilliCores    int    `json:"milliCores"` // of processor that the machine has
+	Version       uint64 `json:"version"`    // raised with each change, also from process to process
 }
 
 // Gossip is what the daemons of a gateway tell each other.
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,8 +26,9 @@
 	// between two events of a stream, and shorter than eventSilence.
 	probeAge = 40 * time.Millisecond
 	// settleTime is added to a probe without an answer, for answers that have come
-	// and are not read yet, and probeSlack is by how much the addition may be
-	// longer: beyond it this daemon was held up, and silence proves nothing.
+	// and are not read yet. probeSlack is by how much the addition may be longer,
+	// and how late the first packet may leave: beyond it this daemon was held up,
+	// and silence proves nothing.
 	settleTime = 5 * time.Millisecond
 	probeSlack = 4 * time.Millisecond
 	// recheckInterval is the pause between probes of a replica that is down.
@@ -96,10 +98,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan probeOutcome, 2)
-	dial := func() { outcomes <- prober.dial(ctx, node.Address) }
-	timer := time.NewTimer(0)
+	begun := time.Now()
+	var dialled atomic.Int64 // how long the first dial waited for the processor
+	dial := func() {
+		dialled.CompareAndSwap(0, int64(time.Since(begun)))
+		outcomes <- prober.dial(ctx, node.Address)
+	}
+	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	<-timer.C
 	within := func(wait time.Duration) (probeOutcome, bool) {
 		timer.Reset(wait)
 		select {
@@ -115,11 +121,11 @@
 			return outcome
 		}
 	}
-	begun := time.Now()
+	settling := time.Now()
 	if outcome, ok := within(settleTime); ok {
 		return outcome
 	}
-	if time.Since(begun) > settleTime+probeSlack {
+	if time.Since(settling) > settleTime+probeSlack || time.Duration(dialled.Load()) > probeSlack {
 		return probeUnsure
 	}
 	return probeSilent
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -111,6 +111,7 @@
 		Process:       uuid.NewString(),
 		CallerAddress: settings.CallerAddress,
 		PeerAddress:   settings.PeerAddress,
+		MilliCores:    settings.MilliCores,
 		Version:       uint64(gateway.timeOfDay().UnixMilli()),
 	})
 	gateway.seeds.Store(&settings.Seeds)
--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -251,12 +251,16 @@
 }
 
 // Rank returns the place of this daemon among those that may have the duty of
-// that name, 0 for the first. Daemons that do not reach the store come last. It
-// returns -1 if this daemon is leaving.
+// that name, 0 for the first: machines with more processor come first, daemons
+// that do not reach the store last. It returns -1 if this daemon is leaving.
 func (roster *Roster) Rank(name string) int {
 	serving := roster.Serving()
 	slices.SortFunc(serving, func(a, b dragonflyhatch.Member) int {
-		return cmp.Or(compareBool(a.StoreLost, b.StoreLost), cmp.Compare(weight(name, a.Host), weight(name, b.Host)))
+		return cmp.Or(
+			compareBool(a.StoreLost, b.StoreLost),
+			cmp.Compare(b.MilliCores, a.MilliCores),
+			cmp.Compare(weight(name, a.Host), weight(name, b.Host)),
+		)
 	})
 	return slices.IndexFunc(serving, func(member dragonflyhatch.Member) bool { return member.Host == roster.self.Host })
 }
--- a/hatchmember/roster_test.go
+++ b/hatchmember/roster_test.go
@@ -62,6 +62,13 @@
 			convey.So(roster.Heard(describe("a1", "a", 99)), convey.ShouldBeTrue)
 			convey.So(roster.Self().Version, convey.ShouldEqual, 100)
 		})
+		convey.Convey("Duties fall to machines with more processor, unless they do not reach the store", func() {
+			roster.Heard(dragonflyhatch.Member{Host: "b1", Version: 11, MilliCores: 800})
+			roster.Heard(dragonflyhatch.Member{Host: "b2", Version: 11, MilliCores: 800, StoreLost: true})
+			for _, duty := range []string{"x", "y", "z"} {
+				convey.So(roster.Rank(duty), convey.ShouldBeBetweenOrEqual, 1, 2)
+			}
+		})
 		convey.Convey("A suspect member is forgotten after a while", func() {
 			roster.Failed("b1", now)
 			roster.Failed("b1", now)
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -185,6 +185,7 @@
 		PeerAddress:   member.PeerAddress,
 		Leaving:       member.Leaving,
 		StoreLost:     member.StoreLost,
+		MilliCores:    uint32(member.MilliCores),
 		Version:       member.Version,
 	}
 }
@@ -198,6 +199,7 @@
 		PeerAddress:   member.GetPeerAddress(),
 		Leaving:       member.GetLeaving(),
 		StoreLost:     member.GetStoreLost(),
+		MilliCores:    int(member.GetMilliCores()),
 		Version:       member.GetVersion(),
 	}
 }
