--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -226,7 +226,7 @@
 	}()
 	for {
 		time.Sleep(recheckInterval)
-		known := prober.fleet.View().Node(node.Service, node.Address)
+		known := prober.fleet.View().At(node.Address)
 		if known == nil || known.Health != node.Health {
 			return
 		}
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -209,6 +209,7 @@
 	credit(fleet.loans)
 	fleet.loans = 0
 }
+
 func (fleet *fakeFleet) Gone(address string) bool {
 	node := fleet.view.At(address)
 	return fleet.believed && node.DownFor(time.Now()) > 0
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -87,16 +87,6 @@
 	return view.version
 }
 
-// Node returns the node at the address among the engines of the service, or nil.
-func (view *View) Node(service, address string) *Node {
-	for _, node := range view.byName[service] {
-		if node.Address == address {
-			return node
-		}
-	}
-	return nil
-}
-
 // Unreachable returns the addresses of at most so many replicas that do not
 // accept connections.
 func (view *View) Unreachable(now time.Time, most int) []string {
