--- a/hatchgateway/poll.go
+++ b/hatchgateway/poll.go
@@ -23,29 +23,35 @@
 // poll reads the store now and then beside the watches, which may hear nothing
 // for seconds though the store serves.
 func (gateway *Gateway) poll(ctx context.Context) {
+	var read uint64 // version of the configuration's object that was read last
 	for ctx.Err() == nil {
 		gateway.pause(ctx, pollInterval)
 		gateway.mu.Lock()
 		rank := gateway.roster.Rank(storeDuty)
 		gateway.mu.Unlock()
 		if rank >= 0 && rank < pollers {
-			gateway.pollOnce(ctx)
+			read = gateway.pollOnce(ctx, read)
 		}
 	}
 }
 
-func (gateway *Gateway) pollOnce(ctx context.Context) {
+// pollOnce reads the store once. It returns the version of the configuration's
+// object; one that was read already is not decoded again.
+func (gateway *Gateway) pollOnce(ctx context.Context, read uint64) uint64 {
 	object, err := gateway.store.Get(ctx, platform.RoutingName)
 	gateway.storeAnswered(err == nil || errors.Is(err, dragonflyhatch.ErrObjectMissing))
 	if err != nil {
 		gateway.logger.Debug("poll failed", "error", err) // the watches tell when the store is lost
-		return
+		return read
+	}
+	if object.Version != read {
+		gateway.adoptRouting(object.Value, "poll")
 	}
-	gateway.adoptRouting(object.Value, "poll")
 	objects, version, err := gateway.store.List(ctx, platform.ReplicaKind+"/")
 	if err != nil {
 		gateway.logger.Debug("poll failed", "error", err)
-		return
+		return object.Version
 	}
 	replicaFollower{gateway}.polled(objects, version)
+	return object.Version
 }
