story tells from the gateways' logs what happened to a request

Its own lines by time, and those about the replicas that its failures were laid to, as all daemons saw them. One generator of random numbers.

--- a/cmd/dragonflyhatch/main.go
+++ b/cmd/dragonflyhatch/main.go
@@ -65,6 +65,7 @@
 			serveCommand(),
 			gatewayCommand(),
 			soakCommand(),
+			storyCommand(),
 			configCommand(),
 			drainCommand(),
 			statusCommand(),
--- /dev/null
+++ b/cmd/dragonflyhatch/story.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"dragonflyhatch/hatchaudit"
+)
+
+func storyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "story",
+		Usage:     "tell from the gateways' logs what happened to a request",
+		ArgsUsage: "REQUEST LOG...",
+		Description: "REQUEST is the caller's attempt id. Prints its lines by time, and those about the replicas\n" +
+			"that its failures are laid to.",
+		Action: story,
+	}
+}
+
+func story(_ context.Context, command *cli.Command) error {
+	args := command.Args().Slice()
+	if len(args) < 2 {
+		return usageError{errors.New("story wants a request and one log at least")}
+	}
+	var logs []hatchaudit.Log
+	for _, path := range args[1:] {
+		file, err := os.Open(path)
+		if err != nil {
+			return usageError{err}
+		}
+		defer file.Close()
+		logs = append(logs, hatchaudit.Log{Name: filepath.Base(path), Reader: file})
+	}
+	lines, err := hatchaudit.Story(args[0], logs)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return refusedError{errors.Newf("no log tells of request %s", args[0])}
+	}
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	return nil
+}
--- /dev/null
+++ b/hatchaudit/story_test.go
@@ -0,0 +1,47 @@
+package hatchaudit
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const storyOfOne = `
+{"time":"2026-03-27T17:55:38.171Z","level":"INFO","msg":"attempt failed","request":"ebdf","reason":"upstreamLost: no connection to a stage","culprits":["10.2.64.65:8342"],"elapsed":1060090633}
+{"time":"2026-03-27T17:55:38.171Z","level":"INFO","msg":"stream resumed","request":"ebdf","after":"21"}
+{"time":"2026-03-27T17:55:38.200Z","level":"INFO","msg":"request served","request":"other","status":200}
+no JSON at all
+{"time":"2026-03-27T17:55:38.947Z","level":"WARN","msg":"request failed","request":"ebdf","status":502}
+`
+
+const storyOfTwo = `
+   3.1 machine-2 {"time":"2026-03-27T17:55:38.150Z","level":"WARN","msg":"replica unreachable","address":"10.2.64.65:8342"}
+   3.2 machine-2 {"time":"2026-03-27T17:55:38.160Z","level":"WARN","msg":"replica unreachable","address":"10.2.64.99:8342"}
+   9.9 machine-2 {"time":"2026-03-27T17:56:38.150Z","level":"WARN","msg":"replica unreachable","address":"10.2.64.65:8342"}
+`
+
+func TestStory(t *testing.T) {
+	logs := func() []Log {
+		return []Log{{"one", strings.NewReader(storyOfOne)}, {"two", strings.NewReader(storyOfTwo)}}
+	}
+	convey.Convey("A request's story is its own lines and those about the replicas at fault, by time", t, func() {
+		story, err := Story("ebdf", logs())
+		convey.So(err, convey.ShouldBeNil)
+		var lines []string
+		for _, line := range story {
+			lines = append(lines, line.String())
+		}
+		convey.So(lines, convey.ShouldResemble, []string{
+			"17:55:38.150 two: replica unreachable address=10.2.64.65:8342",
+			"17:55:38.171 one: attempt failed culprits=[10.2.64.65:8342] elapsed=1060090633 reason=upstreamLost: no connection to a stage request=ebdf",
+			"17:55:38.171 one: stream resumed after=21 request=ebdf",
+			"17:55:38.947 one: request failed request=ebdf status=502",
+		})
+	})
+	convey.Convey("A request that no log knows has no story", t, func() {
+		story, err := Story("unknown", logs())
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(story, convey.ShouldBeEmpty)
+	})
+}
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -46,6 +46,7 @@
 	logger   *slog.Logger
 	meters   *meters
 	prober   *prober
+	random   *rand.Rand
 	pathWait time.Duration
 	engines  dragonflyhatch.EngineControl // nil if engines are not asked for their pace
 
@@ -88,6 +89,7 @@
 		dialect:  dialect,
 		terms:    hatchretry.SharedTerms{Ratio: 0.1, Window: 10 * time.Second},
 		logger:   slog.Default(),
+		random:   hatchpath.NewSharedRandom(),
 		budgets:  make(map[string]*serviceBudget),
 		pathWait: defaultPathWait,
 	}
@@ -169,7 +171,7 @@
 		}
 	}
 	var ok bool
-	if call.service, ok = table.Service(call.route, rand.Float64()); !ok {
+	if call.service, ok = table.Service(call.route, call.forwarder.random.Float64()); !ok {
 		return dragonflyhatch.Fail(dragonflyhatch.KindUpstreamUnavailable, "route %s names no service", call.route.Name)
 	}
 	call.setDeadline()
@@ -226,7 +228,7 @@
 		Tokens:  call.facts.PromptTokens + call.facts.OutputTokens,
 		Exclude: call.attempts.Excluded(),
 		Daemons: call.forwarder.fleet.Daemons(),
-		Random:  rand.New(sharedRandom{}),
+		Random:  call.forwarder.random,
 	}
 }
 
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -107,13 +106,6 @@
 	return view.Service(now, query)
 }
 
-// sharedRandom draws from the process's generator, which may be used by several
-// goroutines.
-type sharedRandom struct{}
-
-// Uint64 returns a random number.
-func (sharedRandom) Uint64() uint64 { return rand.Uint64() }
-
 // sendPlain makes one attempt and reads the whole answer.
 func (call *call) sendPlain(ctx context.Context, node *hatchpath.Node) plainResult {
 	begun := time.Now()
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -76,13 +76,6 @@
 	return func(gateway *Gateway) { gateway.timeOfDay = now }
 }
 
-// sharedRandom draws from the process's generator, which may be used by several
-// goroutines.
-type sharedRandom struct{}
-
-// Uint64 returns a random number.
-func (sharedRandom) Uint64() uint64 { return rand.Uint64() }
-
 // New returns a gateway that has not started.
 func New(settings *platform.Settings, options ...Option) *Gateway {
 	registry := metrics.NewRegistry()
@@ -90,7 +83,7 @@
 		settings: settings,
 		logger:   slog.Default(),
 		registry: registry,
-		random:   rand.New(sharedRandom{}),
+		random:   hatchpath.NewSharedRandom(),
 		store:    platform.NewStore(settings.StoreAddress, platform.WithMetrics(registry)),
 		engines:  platform.NewEngines(),
 		peers:    hatchpeer.NewFleetClient(gossipTimeout),
