A hedge does not wait for a loan

Cause: found by reading: with its part of the budget spent, a daemon asked others for a repeat before it looked at the first attempt's answer, up to 100 ms.

--- a/hatchforward/budget.go
+++ b/hatchforward/budget.go
@@ -35,8 +35,13 @@
 	return budget
 }
 
+// spendOwn takes one repeat from this daemon's part of the service's budget.
+func (forwarder *Forwarder) spendOwn(service string) bool {
+	return forwarder.budget(service).Spend(time.Now(), forwarder.fleet.Daemons())
+}
+
 // spend takes one repeat from the service's budget, or one that another daemon
-// lends.
+// lends, which may take loanTimeout of hatchpeer.
 func (forwarder *Forwarder) spend(service string) bool {
 	budget, daemons := forwarder.budget(service), forwarder.fleet.Daemons()
 	if budget.Spend(time.Now(), daemons) {
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -52,7 +52,7 @@
 			call.timeOut()
 			return
 		case <-hedge.C:
-			if running < call.attempts.RunsLeft() && call.Spend() {
+			if running < call.attempts.RunsLeft() && call.forwarder.spendOwn(call.service.Name) { // no wait for a loan: an answer may come
 				call.logger.Debug("hedged", "after", time.Since(call.begun))
 				_ = start() // without another replica the first attempt is all there is
 			}
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -41,6 +41,7 @@
 	unframedReset           // the same, and resets
 	mute                    // runs it and never answers
 	failsLate               // runs it and answers 500 after a hedge was sent
+	answersLate             // answers after a hedge was due
 	forges                  // answers another request
 	unsealed                // answers without its seal
 	extra                   // answers, and once more
@@ -155,6 +156,9 @@
 	case failsLate:
 		time.Sleep(80 * time.Millisecond)
 		io.WriteString(conn, "HTTP/1.1 500 Internal Server Error\r\nServer-Seal: seal\r\nAttempt-Id: "+id+"\r\nContent-Length: 3\r\n\r\nbad")
+	case answersLate:
+		time.Sleep(80 * time.Millisecond)
+		io.WriteString(conn, head+"Content-Length: 5\r\n\r\nhello")
 	case sheds:
 		io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	case busyUnsaid:
@@ -199,6 +203,8 @@
 	healths *hatchpath.Healths
 	loans   int // that other daemons have for it
 
+	loanTime time.Duration // until they answer
+
 	believed bool // other daemons cannot reach either what this one cannot
 }
 
@@ -206,6 +212,7 @@
 func (fleet *fakeFleet) View() *hatchpath.View    { return fleet.view }
 func (fleet *fakeFleet) Daemons() int             { return 1 }
 func (fleet *fakeFleet) Borrow(_ string, credit func(int)) {
+	time.Sleep(fleet.loanTime)
 	credit(fleet.loans)
 	fleet.loans = 0
 }
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -167,6 +167,16 @@
 			convey.So(got.whole, convey.ShouldBeTrue)
 			convey.So(got.body, convey.ShouldEqual, wholeStream(0))
 		})
+		convey.Convey("A hedge does not wait for a loan: the answer may come first", func() {
+			desk := newFakeReplica(t, "r-1")
+			desk.does(answersLate)
+			fleet := newFleet("desk", desk, newFakeReplica(t, "r-2"))
+			fleet.loanTime = time.Second
+			server := front(t, fleet, WithRetryTerms(hatchretry.SharedTerms{Window: 10 * time.Second}))
+			for _, id := range []string{"h-1", "h-2", "h-3"} {
+				convey.So(ask(server, "GET", "/safe/", id).took, convey.ShouldBeLessThan, 500*time.Millisecond)
+			}
+		})
 		convey.Convey("Without a loan it is broken off", func() {
 			got := ask(server, "POST", "/stream/", "spent")
 			convey.So(got.whole, convey.ShouldBeFalse)
