A daemon that knows of no leader leaves the lease to a process that it sees serve

A daemon that had not heard of a leader within its rank's wait took the lease over whoever held it: the check for a newer holder applied only to those that knew one before. TestLease fails first.

--- a/hatchgateway/leader.go
+++ b/hatchgateway/leader.go
@@ -107,10 +107,7 @@
 		gateway.lead(object.Version)
 		return nil
 	}
-	if object.Version > known && known > 0 {
-		gateway.mu.Lock()
-		defer gateway.mu.Unlock()
-		gateway.heardLeader(holder.Host, object.Version)
+	if !missing && gateway.follows(holder, object.Version, known) {
 		return nil
 	}
 	value, err := json.Marshal(lease{Host: self.Host, Process: self.Process})
@@ -130,6 +127,19 @@
 	return nil
 }
 
+// follows takes the holder of the lease for the leader, if that is news to this
+// daemon: it has taken over from the leader that was known, or this daemon, which
+// knew of none, sees it serve.
+func (gateway *Gateway) follows(holder lease, term, known uint64) bool {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if term <= known || known == 0 && !gateway.roster.IsServingProcess(holder.Host, holder.Process) {
+		return false
+	}
+	gateway.heardLeader(holder.Host, term)
+	return true
+}
+
 // lead notes that this daemon took the lease.
 func (gateway *Gateway) lead(term uint64) {
 	gateway.mu.Lock()
--- /dev/null
+++ b/hatchgateway/leader_test.go
@@ -0,0 +1,48 @@
+package hatchgateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchstandin"
+	"dragonflyhatch/platform"
+)
+
+func TestLease(t *testing.T) {
+	convey.Convey("Given a lease in the store and a daemon that has heard of no leader", t, func() {
+		server := httptest.NewServer(hatchstandin.NewPlatform().Handler())
+		defer server.Close()
+		ctx := context.Background()
+		gateway := New(&platform.Settings{Host: "b", PeerAddress: "127.0.0.1:1", StoreAddress: server.Listener.Addr().String()})
+		value, err := json.Marshal(lease{Host: "a", Process: "first"})
+		convey.So(err, convey.ShouldBeNil)
+		term, err := gateway.store.Create(ctx, leaseName, value)
+		convey.So(err, convey.ShouldBeNil)
+		leading := func() bool {
+			convey.So(gateway.takeLease(ctx), convey.ShouldBeNil)
+			return gateway.isLeader()
+		}
+		convey.Convey("It leaves the lease to a process that serves", func() {
+			gateway.roster.Heard(dragonflyhatch.Member{Host: "a", Process: "first", Version: 1})
+			convey.So(leading(), convey.ShouldBeFalse)
+			convey.So(gateway.leader.host, convey.ShouldEqual, "a")
+			convey.So(gateway.leader.term, convey.ShouldEqual, term)
+		})
+		convey.Convey("It takes the lease of a process that has ended", func() {
+			gateway.roster.Heard(dragonflyhatch.Member{Host: "a", Process: "second", Version: 2})
+			convey.So(leading(), convey.ShouldBeTrue)
+		})
+		convey.Convey("It takes the lease of a process that is leaving", func() {
+			gateway.roster.Heard(dragonflyhatch.Member{Host: "a", Process: "first", Version: 2, Leaving: true})
+			convey.So(leading(), convey.ShouldBeTrue)
+		})
+		convey.Convey("It takes the lease of a process that it does not know", func() {
+			convey.So(leading(), convey.ShouldBeTrue)
+		})
+	})
+}
--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -273,3 +273,10 @@
 	entry, ok := roster.members[host]
 	return ok && !entry.Leaving && !entry.suspect()
 }
+
+// IsServingProcess says whether that process takes requests on the host, as far
+// as this daemon knows.
+func (roster *Roster) IsServingProcess(host, process string) bool {
+	entry, ok := roster.members[host]
+	return ok && entry.Process == process && roster.IsServing(host)
+}
