--- a/hatchsoak/backend.go
+++ b/hatchsoak/backend.go
@@ -17,10 +17,10 @@
 	callerHost   = "h.example"
 
 	modelLayers  = 8
-	memoryLayers = 7 // of an engine
-	draftEvents  = 60
+	memoryLayers = 7  // that an engine has memory for
+	draftEvents  = 60 // of a whole stream
 	draftGap     = 15 * time.Millisecond
-	deskWork     = 20 * time.Millisecond
+	deskWork     = 20 * time.Millisecond // for one request
 	loadTime     = 100 * time.Millisecond
 
 	// heartbeat is how often replicas look whether they are registered, and
--- a/hatchsoak/callers.go
+++ b/hatchsoak/callers.go
@@ -16,6 +16,8 @@
 	callersPerSite = 4
 	// callPause is the mean pause between two requests of a caller.
 	callPause = 60 * time.Millisecond
+	// draftTime and plainTime are how long callers wait for an answer, as long as
+	// the routes allow.
 	draftTime = 8 * time.Second
 	plainTime = 3 * time.Second
 	// markerPause is the pause between two looks at the configuration in force.
--- a/hatchsoak/checker.go
+++ b/hatchsoak/checker.go
@@ -20,18 +20,21 @@
 	marker              // shows which configuration is in force
 )
 
-// The bounds of the platform's sheets, and what the machine may add.
+// The bounds that the platform's settings state for the first deployments.
 const (
-	drainBound  = 2 * time.Second // from the store's acknowledgement
-	configBound = 2 * time.Second // likewise
-	// rollbackSlack is when a configuration that was seen must stay in force.
+	drainBound  = 2 * time.Second // from the store's acknowledgement of a leaving replica
+	configBound = 2 * time.Second // from its acknowledgement of a configuration
+	stableTime  = 3 * time.Second // after a disturbance until bounds hold again
+	// rollbackSlack is when a configuration whose effect was seen must hold for all
+	// later requests.
 	rollbackSlack = 250 * time.Millisecond
-	lossSlack     = 200 * time.Millisecond
-	stableTime    = 3 * time.Second // after a disturbance until bounds hold
-	machineSlow   = 300 * time.Millisecond
-	retryRatio    = 0.2
-	retryExtra    = 392
-	retryWindow   = 10 * time.Second
+	// lossSlack is when a request that ends without an answer has been read.
+	lossSlack   = 200 * time.Millisecond
+	retryRatio  = 0.2
+	retryExtra  = 392
+	retryWindow = 10 * time.Second
+	// machineSlow is added to bounds for a machine that runs several soaks.
+	machineSlow = 300 * time.Millisecond
 )
 
 // record is a request of a caller with its answer.
--- a/hatchsoak/play.go
+++ b/hatchsoak/play.go
@@ -54,7 +54,8 @@
 	}
 }
 
-// clockStep is by how much the time of day of a machine is off.
+// clockStep is by how much the time of day of a machine is off: far more than a
+// fleet takes to agree on anything.
 const clockStep = 20 * time.Second
 
 func (run *run) strikeDaemon(event Event, daemon *daemon) {
@@ -125,13 +126,16 @@
 	}
 }
 
-// lostReplies is how many writes lose their replies in one fault, and
-// refusedCalls how many calls get 429.
 const (
-	lostReplies  = 4
+	// lostReplies is how many writes lose their replies in one fault, and
+	// lateWrites when those are done that are late: longer than a client waits.
+	lostReplies = 4
+	lateWrites  = 1500 * time.Millisecond
+	// refusedCalls is how many calls get 429 in one fault.
 	refusedCalls = 20
-	storeDelay   = 300 * time.Millisecond
-	lateWrites   = 1500 * time.Millisecond
+	// storeDelay is added to each call of a slow store, which takes milliseconds
+	// otherwise.
+	storeDelay = 300 * time.Millisecond
 )
 
 // strikeStore has one fault of the store at a time.
