--- a/hatchforward/budget.go
+++ b/hatchforward/budget.go
@@ -7,11 +7,10 @@
 	"dragonflyhatch/hatchretry"
 )
 
-const (
-	// loanPause is the pause after a round in which nobody has lent anything, so
-	// that an overload does not turn into questions between daemons.
-	loanPause = 500 * time.Millisecond
-)
+// loanPause is the pause after a round in which nobody has lent anything: as long
+// as a part of the budget's window, so that an overload does not turn into
+// questions between daemons.
+const loanPause = 500 * time.Millisecond
 
 // serviceBudget is the daemon's part of the budget of repeats at a service. A
 // part that is spent borrows: daemons lose unequal numbers of streams with a
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -27,8 +27,8 @@
 	probeAge = 40 * time.Millisecond
 	// settleTime is added to a probe without an answer, for answers that have come
 	// and are not read yet. probeSlack is by how much the addition may be longer,
-	// and how late the first packet may leave: beyond it this daemon was held up,
-	// and silence proves nothing.
+	// and how late the first packet may leave: some times the lateness of timers on
+	// an idle machine. Beyond it this daemon was held up, and silence proves nothing.
 	settleTime = 5 * time.Millisecond
 	probeSlack = 4 * time.Millisecond
 	// recheckInterval is the pause between probes of a replica that is down.
