--- a/hatchsoak/play.go
+++ b/hatchsoak/play.go
@@ -164,12 +164,12 @@
 	if faults.Outage || faults.Silent {
 		defer run.backends.setDown()()
 	}
-	run.store.SetFaults(faults)
+	run.backends.store.SetFaults(faults)
 	time.Sleep(event.Lasts)
 	if faults.HoldWatches {
-		run.store.ForgetHistory()
+		run.backends.store.ForgetHistory()
 	}
-	run.store.SetFaults(hatchstandin.PlatformFaults{})
+	run.backends.store.SetFaults(hatchstandin.PlatformFaults{})
 }
 
 // strikeReplica strikes one replica, unless too few are left.
--- a/hatchsoak/soak.go
+++ b/hatchsoak/soak.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -52,7 +51,6 @@
 	seed     uint64
 	checker  *checker
 	backends *backends
-	store    *hatchstandin.Platform
 	daemons  []*daemon
 	server   *storeServer
 
@@ -71,7 +69,6 @@
 	}
 	run := &run{seed: plan.Seed, checker: newChecker()}
 	run.backends = newBackends(run.checker)
-	run.store = run.backends.store
 	defer run.end()
 	if err := run.begin(plan, folder); err != nil {
 		return nil, err
@@ -105,7 +102,7 @@
 // begin starts the store, the replicas and the daemons.
 func (run *run) begin(plan Plan, folder string) error {
 	var err error
-	if run.server, err = startStore(run.store); err != nil {
+	if run.server, err = startStore(run.backends.store); err != nil {
 		return err
 	}
 	run.backends.configure()
@@ -270,8 +267,3 @@
 	}
 	return len(checker.records), served
 }
-
-// LogOf returns the path of the log of the report's machine.
-func (report *Report) LogOf(machine int) string {
-	return filepath.Join(report.Folder, fmt.Sprintf("machine-%d.log", machine))
-}
