Daemons go on calling the seeds that they do not know

Two parts of a fleet each had a leader, for good. Ruled out: a slow exchange of gossip (the daemons never heard of the third), the lease (each term was taken once). Change: a loop of its own calls the seeds that no known daemon is, each second, or each 0.4 s while the daemon is alone. A wait that fails in the gateway's tests shows the logs. Before: TestSeedThatStartsLateIsFound fails (3 s, never).

--- a/hatchgateway/gateway_test.go
+++ b/hatchgateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -87,7 +88,7 @@
 		world.startEngine(fmt.Sprintf("i-%d", i), site)
 	}
 	for i := range gateways {
-		world.startGateway(i)
+		world.startGateway(i, world.peers()...)
 	}
 	return world
 }
@@ -151,19 +152,25 @@
 // worlds counts the worlds that were made.
 var worlds atomic.Int32
 
-func (world *world) startGateway(number int) *testGateway {
+// peers returns the addresses of the gateways for each other.
+func (world *world) peers() []string {
+	var addresses []string
+	for _, gateway := range world.gateways {
+		addresses = append(addresses, gateway.settings.PeerAddress)
+	}
+	return addresses
+}
+
+func (world *world) startGateway(number int, seeds ...string) *testGateway {
 	ip := world.gatewayIP(number)
 	settings := &platform.Settings{
 		Host: fmt.Sprintf("h-%d", number), IP: ip, Site: []string{"a", "b"}[number%2],
 		CallerAddress: ip + ":8080", ReadyAddress: ip + ":8081", PeerAddress: ip + ":8082",
-		DirectoryAddress: ip + ":8083", StoreAddress: world.server.Listener.Addr().String(),
+		DirectoryAddress: ip + ":8083", StoreAddress: world.server.Listener.Addr().String(), Seeds: seeds,
 		Bounds: platform.Bounds{
 			StopTime: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 400, RetryWindow: 10 * time.Second, MaxDirectoryTTL: 5 * time.Second,
 		},
 	}
-	for _, other := range world.gateways {
-		settings.Seeds = append(settings.Seeds, other.settings.PeerAddress)
-	}
 	log := new(syncBuffer)
 	gateway := New(settings, WithLogger(slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug}))))
 	ctx, stop := context.WithCancel(context.Background())
@@ -180,13 +187,34 @@
 	return started
 }
 
-// eventually wants the condition to hold within the time.
-func eventually(within time.Duration, condition func() bool) {
+// eventually wants the condition to hold within the time, and shows the logs of
+// all gateways if it does not.
+func (world *world) eventually(within time.Duration, what string, condition func() bool) {
 	deadline := time.Now().Add(within)
-	for !condition() && time.Now().Before(deadline) {
+	held := condition()
+	for !held && time.Now().Before(deadline) {
 		time.Sleep(10 * time.Millisecond)
+		held = condition()
+	}
+	if !held {
+		world.showLogs(what)
+	}
+	convey.So(held, convey.ShouldBeTrue)
+}
+
+// linesShown bounds the lines of one gateway's log that a failed wait shows.
+const linesShown = 80
+
+// showLogs prints the end of each gateway's log, without the lines of single
+// attempts.
+func (world *world) showLogs(what string) {
+	for _, gateway := range world.gateways {
+		lines := slices.DeleteFunc(strings.Split(gateway.log.String(), "\n"), func(line string) bool {
+			return strings.Contains(line, `"level":"DEBUG"`)
+		})
+		lines = lines[max(len(lines)-linesShown, 0):]
+		world.t.Logf("%s: not within its time; log of %s:\n%s", what, gateway.settings.Host, strings.Join(lines, "\n"))
 	}
-	convey.So(condition(), convey.ShouldBeTrue)
 }
 
 // call sends a streaming request to the gateway and returns the status and the
@@ -261,10 +289,10 @@
 func TestGatewaysServeAPipeline(t *testing.T) {
 	convey.Convey("Given three gateways before six engines in two sites", t, func() {
 		world := newWorld(t, 3)
-		eventually(12*time.Second, world.served)
+		world.eventually(12*time.Second, "all serve", world.served)
 		// A leader learns by gossip that another one has taken the lease.
-		eventually(2*time.Second, func() bool { return world.leaders() == 1 })
-		eventually(3*time.Second, func() bool { return len(world.gateways[0].directory()) >= 1 })
+		world.eventually(2*time.Second, "one leads", func() bool { return world.leaders() == 1 })
+		world.eventually(3*time.Second, "the directory names gateways", func() bool { return len(world.gateways[0].directory()) >= 1 })
 
 		convey.Convey("A lost engine's layers are held again, and streams over it go on", func() {
 			var group sync.WaitGroup
@@ -282,10 +310,10 @@
 			for _, events := range results {
 				convey.So(events, convey.ShouldEqual, testEvents)
 			}
-			eventually(6*time.Second, func() bool {
+			world.eventually(6*time.Second, "the lost layers are held", func() bool {
 				return world.holds("a", world.engines[1:3])
 			})
-			eventually(3*time.Second, world.served)
+			world.eventually(3*time.Second, "all serve again", world.served)
 			for _, engine := range world.engines {
 				convey.So(engine.OverMemory(), convey.ShouldBeFalse)
 			}
@@ -293,7 +321,7 @@
 		convey.Convey("A configuration is in force everywhere though no watch hears of it", func() {
 			world.storeFaults(hatchstandin.PlatformFaults{HoldWatches: true})
 			world.configure(2, "/other/")
-			eventually(2*time.Second, func() bool {
+			world.eventually(2*time.Second, "the configuration is in force", func() bool {
 				for _, gateway := range world.gateways {
 					if gateway.Table().Version != 2 {
 						return false
@@ -307,8 +335,8 @@
 		convey.Convey("While the store is out requests are served, and a new gateway learns from its peers", func() {
 			world.storeFaults(hatchstandin.PlatformFaults{Outage: true})
 			convey.So(world.served(), convey.ShouldBeTrue)
-			world.startGateway(3)
-			eventually(4*time.Second, world.served)
+			world.startGateway(3, world.peers()...)
+			world.eventually(4*time.Second, "the new gateway serves", world.served)
 		})
 		convey.Convey("A stopping gateway cuts nothing, leaves the directory at once, and another leads", func() {
 			var leader *testGateway
@@ -327,14 +355,14 @@
 			convey.So(<-events, convey.ShouldEqual, testEvents)
 			for _, gateway := range world.gateways {
 				if gateway != leader {
-					eventually(time.Second, func() bool {
+					world.eventually(time.Second, "the directory leaves the stopping gateway out", func() bool {
 						addresses := gateway.directory()
 						return len(addresses) > 0 && !strings.Contains(strings.Join(addresses, " "), leader.settings.CallerAddress)
 					})
 				}
 			}
 			convey.So(<-leader.ended, convey.ShouldBeNil)
-			eventually(6*time.Second, func() bool { return world.leaders() == 1 })
+			world.eventually(6*time.Second, "another leads", func() bool { return world.leaders() == 1 })
 		})
 		convey.Convey("A failed request is explained by the log", func() {
 			for _, engine := range world.engines {
@@ -357,6 +385,31 @@
 	})
 }
 
+func TestSeedThatStartsLateIsFound(t *testing.T) {
+	convey.Convey("Given two gateways that know each other, and a seed that has not started", t, func() {
+		world := newWorld(t, 0)
+		seed := world.gatewayIP(0) + ":8082"
+		knows := func(daemons int) func() bool {
+			return func() bool {
+				for _, gateway := range world.gateways {
+					if gateway.Daemons() != daemons {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		for _, number := range []int{1, 2} {
+			world.startGateway(number, append(world.peers(), seed)...)
+		}
+		world.eventually(3*time.Second, "two know each other", knows(2))
+		convey.Convey("The seed becomes one of them though it knows nobody itself", func() {
+			world.startGateway(0)
+			world.eventually(3*time.Second, "three know each other", knows(3))
+		})
+	})
+}
+
 // holds says whether the engines hold every layer between them.
 func (world *world) holds(_ string, engines []*hatchstandin.LayerEngine) bool {
 	held := make([]bool, testLayers)
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -14,6 +14,9 @@
 	// gossipInterval is the pause between two exchanges of a daemon: a dead
 	// daemon is met by some other within about this time.
 	gossipInterval = 400 * time.Millisecond
+	// seedInterval is the pause between two calls of a seed that no known daemon is:
+	// it may be stale, so it is called less often than members are.
+	seedInterval = time.Second
 	// gossipTimeout bounds one exchange, which takes some milliseconds.
 	gossipTimeout = 300 * time.Millisecond
 	// maxLostTold bounds the unreachable replicas in one message.
@@ -26,28 +29,43 @@
 // gossip exchanges what is known with a random peer now and then until ctx is
 // done.
 func (gateway *Gateway) gossip(ctx context.Context) {
-	gateway.join(ctx)
 	for ctx.Err() == nil {
 		gateway.pause(ctx, gossipInterval)
 		gateway.mu.Lock()
 		gateway.roster.Forget(time.Now())
 		peers := gateway.roster.Peers(gateway.random)
 		gateway.mu.Unlock()
-		if len(peers) == 0 {
-			gateway.join(ctx)
-			continue
+		if len(peers) > 0 {
+			gateway.gossipWith(ctx, peers[0])
 		}
-		gateway.gossipWith(ctx, peers[0])
 	}
 }
 
-// join exchanges gossip with the seeds.
+// seek joins the seeds that the daemon does not know, until ctx is done. A daemon
+// that knows others goes on with it: two parts of a fleet that know nothing of
+// each other would each choose a leader.
+func (gateway *Gateway) seek(ctx context.Context) {
+	for ctx.Err() == nil {
+		gateway.join(ctx)
+		pause := seedInterval
+		if gateway.Daemons() == 1 {
+			pause = gossipInterval
+		}
+		gateway.pause(ctx, pause)
+	}
+}
+
+// unknownSeeds returns the addresses of the seeds that no known daemon has.
+func (gateway *Gateway) unknownSeeds() []string {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(*gateway.seeds.Load()), gateway.roster.HasAddress)
+}
+
+// join exchanges gossip with the seeds that the daemon does not know.
 func (gateway *Gateway) join(ctx context.Context) {
 	var group conc.WaitGroup
-	for _, address := range *gateway.seeds.Load() {
-		if address == gateway.settings.PeerAddress {
-			continue
-		}
+	for _, address := range gateway.unknownSeeds() {
 		group.Go(func() {
 			if err := gateway.exchange(ctx, address); err != nil {
 				gateway.logger.Debug("seed not reached", "address", address, "error", err)
--- a/hatchgateway/run.go
+++ b/hatchgateway/run.go
@@ -65,7 +65,7 @@
 	}
 	var group conc.WaitGroup
 	for _, loop := range []func(context.Context){
-		gateway.gossip, gateway.spreadNews, gateway.elect, gateway.place, gateway.poll,
+		gateway.gossip, gateway.seek, gateway.spreadNews, gateway.elect, gateway.place, gateway.poll,
 		func(ctx context.Context) { gateway.follow(ctx, routingFollower{gateway}) },
 		func(ctx context.Context) { gateway.follow(ctx, replicaFollower{gateway}) },
 		gateway.expireReplicas,
--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -98,6 +98,19 @@
 	return true
 }
 
+// HasAddress says whether peers call this daemon or a member at the address.
+func (roster *Roster) HasAddress(peerAddress string) bool {
+	if roster.self.PeerAddress == peerAddress {
+		return true
+	}
+	for _, entry := range roster.members {
+		if entry.PeerAddress == peerAddress {
+			return true
+		}
+	}
+	return false
+}
+
 // Answered notes that a call to the host came through. It returns true if the
 // host was suspect.
 func (roster *Roster) Answered(host string, now time.Time) bool {
