A gap in a site's chain moves the nearest engines, not the whole site

Change: the nearest engines take the gap, give up layers at their other ends, and the next ones take those; the split that moves fewest engines is chosen. Spares stand in up to 90% of their memory before any engine of the chain moves. Before, a site could also be laid out after spares had been placed in the same plan; a failed fill now places nothing. The new test failed before (nine orders for three).

--- a/hatchorder/placement.go
+++ b/hatchorder/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"dragonflyhatch"
@@ -39,7 +38,7 @@
 // gives each site a pipeline of its own if its memory allows: a chain of the
 // fastest engines. The others hold layers of the chain a second time. What
 // stands is kept. Layers that are lost are loaded by engines whose own layers
-// others hold too, or by the neighbours in the chain. The same engines always
+// others hold too, or by the nearest engines of the chain. The same engines always
 // give the same plan, and a plan that was carried out gives none.
 func PlanLayers(model *dragonflyhatch.EngineModel, engines []PlacedEngine) []Placement {
 	var plan []Placement
@@ -115,11 +114,7 @@
 // capacity returns how many layers all engines hold in the share of their
 // memory.
 func (group *placementGroup) capacity(share float64) int {
-	total := 0
-	for _, engine := range group.engines {
-		total += group.room(engine, share)
-	}
-	return total
+	return group.roomOf(group.engines, share)
 }
 
 func (group *placementGroup) plan() []Placement {
@@ -198,20 +193,43 @@
 }
 
 // fill has the gap held by engines that nobody would miss where they are, and
-// else by the engines that hold the layers before and after. It returns false if
-// these have no room.
+// what these have no room for by the engines of the chain around it. It returns
+// false, and places nothing, if there is no room.
 func (group *placementGroup) fill(gap dragonflyhatch.LayerRange) bool {
-	spares := group.sparesFor(gap.End - gap.First)
-	// Each takes its part of what is left, so that all are done at about the same
-	// time.
+	size := gap.End - gap.First
+	spares, share := group.sparesFor(size), weightShare
+	if group.roomOf(spares, share) < size {
+		share = standInShare
+	}
+	rest := max(size-group.roomOf(spares, share), 0)
+	shift, ok := group.shift(gap, rest, spares)
+	if !ok {
+		return false
+	}
+	for _, move := range shift.moves {
+		group.place(move.engine, move.layers)
+	}
+	gap.First += shift.fromBelow
+	gap.End -= rest - shift.fromBelow
+	// Each spare takes its part of what is left, so that all are done at about the
+	// same time.
 	for i, spare := range spares {
 		left := gap.End - gap.First
-		share := (left + len(spares) - i - 1) / (len(spares) - i)
-		count := min(group.room(spare, weightShare), share)
+		part := (left + len(spares) - i - 1) / (len(spares) - i)
+		count := min(group.room(spare, share), part)
 		group.place(spare, dragonflyhatch.LayerRange{First: gap.First, End: gap.First + count})
 		gap.First += count
 	}
-	return gap.First == gap.End || group.extend(gap)
+	return true
+}
+
+// roomOf returns how many layers the engines hold in the share of their memory.
+func (group *placementGroup) roomOf(engines []*PlacedEngine, share float64) int {
+	total := 0
+	for _, engine := range engines {
+		total += group.room(engine, share)
+	}
+	return total
 }
 
 // sparesFor returns as many spares as are needed to hold so many layers, or all
@@ -270,51 +288,6 @@
 	return needed
 }
 
-// extend has the gap held by the engines with the layers before and after, which
-// keep what they hold. It returns false if they have no room.
-func (group *placementGroup) extend(gap dragonflyhatch.LayerRange) bool {
-	before, after := group.neighbours(gap)
-	roomBefore, roomAfter := group.left(before), group.left(after)
-	size := gap.End - gap.First
-	if roomBefore+roomAfter < size {
-		return false
-	}
-	fromBefore := int(math.Round(float64(size) * float64(roomBefore) / float64(roomBefore+roomAfter)))
-	fromBefore = min(max(fromBefore, size-roomAfter), roomBefore)
-	if fromBefore > 0 {
-		group.place(before, dragonflyhatch.LayerRange{First: before.Layers.First, End: gap.First + fromBefore})
-	}
-	if fromBefore < size {
-		group.place(after, dragonflyhatch.LayerRange{First: gap.First + fromBefore, End: after.Layers.End})
-	}
-	return true
-}
-
-// neighbours returns the engines with most room whose layers end where the gap
-// begins, and begin where it ends.
-func (group *placementGroup) neighbours(gap dragonflyhatch.LayerRange) (before, after *PlacedEngine) {
-	for _, engine := range group.engines {
-		if engine.count() == 0 {
-			continue
-		}
-		if engine.Layers.End == gap.First && group.left(engine) >= group.left(before) {
-			before = engine
-		}
-		if engine.Layers.First == gap.End && group.left(engine) >= group.left(after) {
-			after = engine
-		}
-	}
-	return before, after
-}
-
-// left returns how many more layers the engine may be ordered to hold now.
-func (group *placementGroup) left(engine *PlacedEngine) int {
-	if engine == nil || engine.Busy {
-		return 0
-	}
-	return max(group.room(engine, standInShare)-engine.count(), 0)
-}
-
 // relieve gives KV memory back to engines that stand in for others: layers at
 // the ends of their ranges that others hold too are given up, and for those that
 // no one else holds a spare is sought.
--- a/hatchorder/placement_test.go
+++ b/hatchorder/placement_test.go
@@ -138,6 +138,14 @@
 			convey.So(orders, convey.ShouldBeBetweenOrEqual, 0, 8)
 		}
 	})
+	convey.Convey("A gap that the neighbours have no room for moves as few engines as have", t, func() {
+		fleet := new(engineFleet)
+		fleet.add("bole", "l4", 10)
+		fleet.settle()
+		fleet.remove(5) // eight layers; an engine has room for three more
+		convey.So(fleet.settle(), convey.ShouldEqual, 3)
+		convey.So(fleet.missing("bole"), convey.ShouldEqual, 0)
+	})
 	convey.Convey("An engine that stood in gives layers back when others hold them", t, func() {
 		fleet := new(engineFleet)
 		fleet.add("bole", "l4", 9)
@@ -187,7 +195,7 @@
 					group.engines = append(group.engines, &fleet.engines[i])
 				}
 			}
-			if group.capacity(weightShare) >= mixedModel.Layers && fleet.missing(site) > 0 {
+			if group.capacity(standInShare) >= mixedModel.Layers && fleet.missing(site) > 0 {
 				t.Fatalf("%s could hold the model and lacks %d layers", site, fleet.missing(site))
 			}
 		}
