A stream that may go back to two replicas alternates between them

The log: once a stream has run on as many replicas as its route allows, both are allowed again and the choice between them is random, so that now and then all attempts that were left went to the one that had just broken off. Ruled out: probes that load made late (no replica was found unreachable). Change: the replica that has just failed comes last.

--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -98,14 +98,9 @@
 
 func (stream *stream) choosePath() (*hatchpath.Pipeline, error) {
 	if stream.service.Model != nil {
-		query, view := stream.query(), stream.forwarder.fleet.View()
-		query.AnySite = stream.headSent
-		if only := stream.attempts.Only(stream.forwarder.fleet.Gone); only != nil {
-			query.Heads = only
-			query.Exclude = slices.DeleteFunc(slices.Clone(query.Exclude), func(address string) bool { return slices.Contains(only, address) })
-		}
+		view := stream.forwarder.fleet.View()
 		stream.replicas = view.Version()
-		return view.Pipeline(time.Now(), query)
+		return stream.choosePipeline(view)
 	}
 	node, err := stream.chooseService()
 	if err != nil {
@@ -114,6 +109,25 @@
 	return &hatchpath.Pipeline{Nodes: []*hatchpath.Node{node}}, nil
 }
 
+// choosePipeline returns a pipeline. A request that may run on no further replica
+// goes back to one that has run it; the one that has just failed comes last.
+func (stream *stream) choosePipeline(view *hatchpath.View) (*hatchpath.Pipeline, error) {
+	query := stream.query()
+	query.AnySite = stream.headSent
+	if query.Heads = stream.attempts.Only(stream.forwarder.fleet.Gone); query.Heads == nil {
+		return view.Pipeline(time.Now(), query)
+	}
+	failedAt := stream.attempts.FailedAt()
+	query.Exclude = slices.DeleteFunc(slices.Clone(query.Exclude), func(address string) bool {
+		return address != failedAt && slices.Contains(query.Heads, address)
+	})
+	if pipeline, err := view.Pipeline(time.Now(), query); err == nil {
+		return pipeline, nil
+	}
+	query.Exclude = slices.DeleteFunc(query.Exclude, func(address string) bool { return address == failedAt })
+	return view.Pipeline(time.Now(), query)
+}
+
 // end closes a stream that has no whole answer. The caller of a stream that has
 // begun sees a connection that breaks off.
 func (stream *stream) end(err error) {
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -137,9 +137,11 @@
 		convey.Convey("A stream that breaks off at both goes on at the first again", func() {
 			one.streams(breaksOff, 5)
 			two.streams(breaksOff, 8)
-			got := ask(server, "POST", "/stream/", "again")
-			convey.So(got.whole, convey.ShouldBeTrue)
-			convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+			for i := range 40 {
+				got := ask(server, "POST", "/stream/", fmt.Sprint("again-", i))
+				convey.So(got.whole, convey.ShouldBeTrue)
+				convey.So(got.body, convey.ShouldEqual, wholeStream(0))
+			}
 		})
 		convey.Convey("A stream that cannot go on does not look whole", func() {
 			one.streams(breaksOff, 6)
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -35,6 +35,7 @@
 	maybeRan bool // some attempt may have run
 	excluded []string
 	ranAt    []string // replicas that may have run it, as RunFailed was told
+	failedAt string   // replica of the last attempt that RunFailed was told of
 }
 
 // Option limits attempts.
@@ -88,6 +89,11 @@
 	return live
 }
 
+// FailedAt returns the replica of the last attempt that RunFailed was told of.
+func (attempts *Attempts) FailedAt() string {
+	return attempts.failedAt
+}
+
 // Forgive empties the list of excluded addresses.
 func (attempts *Attempts) Forgive() {
 	attempts.excluded = nil
@@ -113,6 +119,7 @@
 // RunFailed is Failed for a request that may run any number of times, but on a
 // limited number of replicas: one that has run it may run it again.
 func (attempts *Attempts) RunFailed(now time.Time, failure *dragonflyhatch.Failure, replica string, culprits []string, budget Spender) error {
+	attempts.failedAt = replica
 	if failure.Kind.Answer().Ran == dragonflyhatch.RanUnknown {
 		attempts.maybeRan = true
 		if !slices.Contains(attempts.ranAt, replica) {
