Streams that queue keep their place, and busy heads get fewer

Change: a stream without a first event waits for up to three times what the head's streams have lately taken to theirs. Choosing between sites counts that wait too: a second weighs like a KV memory that is in use.

--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -31,6 +31,18 @@
 	refusesRoom
 )
 
+// streamsLate makes the replica stream all events after the delay.
+func (replica *fakeReplica) streamsLate(delay time.Duration) {
+	replica.streams(ends, 0)
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	stream := replica.stream
+	replica.stream = func(conn net.Conn, request *http.Request) {
+		time.Sleep(delay)
+		stream(conn, request)
+	}
+}
+
 // streams makes the replica stream events from where the caller is to the end,
 // or to the event before which it misbehaves.
 func (replica *fakeReplica) streams(how ending, before int) {
@@ -156,6 +168,30 @@
 	})
 }
 
+func TestStreamsThatQueue(t *testing.T) {
+	convey.Convey("Given two engines, of which the nearer one's first events have been late lately", t, func() {
+		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
+		two.streams(ends, 0)
+		server := front(t, newFleet("lm", one, two))
+		one.streamsLate(700 * time.Millisecond)
+		convey.So(ask(server, "POST", "/stream/", "first").body, convey.ShouldEqual, wholeStream(0))
+		one.streamsLate(longestSilence + 300*time.Millisecond)
+		convey.Convey("A stream keeps its place in the queue there", func() {
+			convey.So(ask(server, "POST", "/stream/", "second").body, convey.ShouldEqual, wholeStream(0))
+			convey.So(one.runsOf("second"), convey.ShouldEqual, 1)
+			convey.So(two.runsOf("second"), convey.ShouldEqual, 0)
+		})
+	})
+	convey.Convey("A first event that is late by itself sends the stream elsewhere", t, func() {
+		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
+		one.streamsLate(longestSilence + 300*time.Millisecond)
+		two.streams(ends, 0)
+		server := front(t, newFleet("lm", one, two))
+		convey.So(ask(server, "POST", "/stream/", "alone").body, convey.ShouldEqual, wholeStream(0))
+		convey.So(two.runsOf("alone"), convey.ShouldEqual, 1)
+	})
+}
+
 func TestSpentBudget(t *testing.T) {
 	convey.Convey("Given a daemon whose part of the budget is nothing, and an engine that breaks streams off", t, func() {
 		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -38,6 +38,10 @@
 	// longestSilence ends an attempt though its replicas seem alive: callers
 	// give up after two seconds.
 	longestSilence = 1200 * time.Millisecond
+	// queuedWaits is how many times the head's usual time to a first event a stream
+	// may wait for its own: prompts that queue there are read sooner than if each
+	// were sent to another pipeline and read from its beginning.
+	queuedWaits = 3
 )
 
 // watch notices that a stream has gone silent, and looks for the reason.
@@ -48,6 +52,7 @@
 
 	mu       sync.Mutex
 	timer    *time.Timer
+	begun    bool          // something has come
 	since    time.Time     // of the last event, or of the start
 	usual    time.Duration // mean time between events
 	silence  time.Duration // until the next check
@@ -99,7 +104,10 @@
 		return
 	}
 	now := time.Now()
-	if watch.silence != firstSilence || watch.usual > 0 {
+	if !watch.begun {
+		watch.begun = true
+		watch.pipeline.Nodes[0].FirstEvent(now, now.Sub(watch.since))
+	} else {
 		gap, weight := now.Sub(watch.since), gapWeight
 		if gap > watch.usual {
 			weight = longGapWeight
@@ -154,7 +162,7 @@
 	switch {
 	case len(culprits) > 0:
 		watch.giveUp("no connection to a stage", culprits)
-	case silent > longestSilence:
+	case silent > watch.patience():
 		watch.giveUp("silent for "+silent.Round(time.Millisecond).String(), nil)
 	case !watch.paused:
 		watch.timer.Reset(nextCheck)
@@ -164,6 +172,15 @@
 	}
 }
 
+// patience returns for how long the stream may be silent though its replicas are
+// alive.
+func (watch *watch) patience() time.Duration {
+	if watch.begun {
+		return longestSilence
+	}
+	return max(longestSilence, queuedWaits*watch.pipeline.Nodes[0].FirstWait(time.Now()))
+}
+
 func (watch *watch) giveUp(reason string, culprits []string) {
 	watch.culprits, watch.reason = culprits, reason
 	watch.cancel()
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -42,6 +42,7 @@
 	pace      atomic.Pointer[timedPace]
 	nextAsk   atomic.Int64 // ticks before which the replica is not asked for its pace
 	latency   average      // seconds
+	firstWait atomic.Pointer[timedWait]
 	failures  average      // share of answers that are failures
 	load      atomic.Pointer[timedLoad]
 }
@@ -52,6 +53,35 @@
 	at   time.Time
 }
 
+// timedWait is the mean time to the first events of streams that an engine heads.
+type timedWait struct {
+	mean time.Duration
+	at   time.Time
+}
+
+// firstWaitAge is how long the first events that came count: about the time in
+// which callers give a silent stream up.
+const firstWaitAge = 2 * time.Second
+
+// FirstEvent notes how long a stream that the engine heads took to its first event.
+func (health *Health) FirstEvent(now time.Time, took time.Duration) {
+	mean := took
+	if known := health.FirstWait(now); known > 0 {
+		mean = known + time.Duration(averageWeight*float64(took-known))
+	}
+	health.firstWait.Store(&timedWait{mean, now}) // of two at the same moment one is lost
+}
+
+// FirstWait returns how long streams that the engine heads have lately taken to
+// their first event, 0 if there were none.
+func (health *Health) FirstWait(now time.Time) time.Duration {
+	known := health.firstWait.Load()
+	if known == nil || now.Sub(known.at) > firstWaitAge {
+		return 0
+	}
+	return known.mean
+}
+
 const (
 	// paceAge is how long an engine's word on its pace counts.
 	paceAge = 4 * time.Second
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -70,6 +70,9 @@
 	// slowWeight weighs by how much longer than usual a pipeline takes because of
 	// engines that have turned slow, against KV memory in use.
 	slowWeight = 0.5
+	// waitWeight weighs the seconds that streams of a pipeline's head have lately
+	// taken to their first event, against KV memory in use.
+	waitWeight = 1
 	// siteSpread is the range of a random share that is added to the KV memory in
 	// use, so that the daemons that lose a pipeline at once do not all choose the
 	// same other one.
@@ -106,7 +109,7 @@
 				continue
 			}
 			local = local || site == query.Site
-			fill := set.fill(now, found, query.Daemons) + slowWeight*found.slowness(now)
+			fill := set.load(now, found, query.Daemons) + slowWeight*found.slowness(now)
 			if site != query.Site && !query.AnySite {
 				fill += remoteFill
 			}
@@ -118,7 +121,7 @@
 			}
 		}
 		if !local {
-			if found := set.cover(now, set.all, version, query, usable); found != nil && set.fill(now, found, query.Daemons)+mixedFill < bestFill {
+			if found := set.cover(now, set.all, version, query, usable); found != nil && set.load(now, found, query.Daemons)+mixedFill < bestFill {
 				best = found
 			}
 		}
@@ -284,6 +287,12 @@
 	return float64(node.tokens.Load()) * float64(daemons) / room
 }
 
+// load returns the share in use of the pipeline's KV memory, and what its streams
+// wait.
+func (set *engineSet) load(now time.Time, cover *cover, daemons int) float64 {
+	return set.fill(now, cover, daemons) + waitWeight*cover.stages[0].node.FirstWait(now).Seconds()
+}
+
 // fill returns the share in use of the KV memory of the fullest stage. What the
 // head has said of its load counts for all stages; without its word the work of
 // the other daemons is taken to be like this one's.
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -20,6 +20,7 @@
 	replicas []dragonflyhatch.Replica // all, also those that are leaving
 	version  uint64                   // of the newest registration
 	byName   map[string][]*Node       // of a service, not leaving
+	byPlace  map[string]*Node         // by address, not leaving
 	engines  map[string]*engineSet
 }
 
@@ -38,6 +39,7 @@
 	view := &View{
 		replicas: slices.Clone(replicas),
 		byName:   make(map[string][]*Node),
+		byPlace:  make(map[string]*Node),
 		engines:  make(map[string]*engineSet),
 	}
 	slices.SortFunc(view.replicas, func(a, b dragonflyhatch.Replica) int { return cmp.Compare(a.ID, b.ID) })
@@ -48,6 +50,7 @@
 		}
 		node := &Node{Replica: replica, Health: healths.Of(replica)}
 		view.byName[replica.Service] = append(view.byName[replica.Service], node)
+		view.byPlace[replica.Address] = node
 	}
 	for name, nodes := range view.byName {
 		if model := services[name].Model; model != nil {
@@ -103,14 +106,7 @@
 
 // At returns the node at the address among all that may be given work, or nil.
 func (view *View) At(address string) *Node {
-	for _, nodes := range view.byName {
-		for _, node := range nodes {
-			if node.Address == address {
-				return node
-			}
-		}
-	}
-	return nil
+	return view.byPlace[address]
 }
 
 // Alive returns the replica that has shown last that it is alive, beside the
