--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -43,7 +43,7 @@
 	nextAsk   atomic.Int64 // ticks before which the replica is not asked for its pace
 	latency   average      // seconds
 	firstWait atomic.Pointer[timedWait]
-	failures  average      // share of answers that are failures
+	failures  average // share of answers that are failures
 	load      atomic.Pointer[timedLoad]
 }
 
