--- a/hatchgateway/poll.go
+++ b/hatchgateway/poll.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"dragonflyhatch"
 	"dragonflyhatch/platform"
 )
 
@@ -36,22 +33,30 @@
 }
 
 // pollOnce reads the store once. It returns the version of the configuration's
-// object; one that was read already is not decoded again.
+// object; one that was read already is not decoded again. The store has one
+// counter of versions for all objects, so the replicas are read only if something
+// has changed.
 func (gateway *Gateway) pollOnce(ctx context.Context, read uint64) uint64 {
-	object, err := gateway.store.Get(ctx, platform.RoutingName)
-	gateway.storeAnswered(err == nil || errors.Is(err, dragonflyhatch.ErrObjectMissing))
+	objects, version, err := gateway.store.List(ctx, platform.RoutingKind+"/")
+	gateway.storeAnswered(err == nil)
 	if err != nil {
 		gateway.logger.Debug("poll failed", "error", err) // the watches tell when the store is lost
 		return read
 	}
-	if object.Version != read {
-		gateway.adoptRouting(object.Value, "poll")
+	for _, object := range objects {
+		if object.Name == platform.RoutingName && object.Version != read {
+			gateway.adoptRouting(object.Value, "poll")
+			read = object.Version
+		}
 	}
-	objects, version, err := gateway.store.List(ctx, platform.ReplicaKind+"/")
+	if version <= gateway.versions().ReplicasVersion {
+		return read
+	}
+	replicas, version, err := gateway.store.List(ctx, platform.ReplicaKind+"/")
 	if err != nil {
 		gateway.logger.Debug("poll failed", "error", err)
-		return object.Version
+		return read
 	}
-	replicaFollower{gateway}.polled(objects, version)
-	return object.Version
+	replicaFollower{gateway}.polled(replicas, version)
+	return read
 }
