--- a/hatchforward/answer.go
+++ b/hatchforward/answer.go
@@ -74,6 +74,9 @@
 	line := call.logger.With("route", name, "organisation", call.organisation(), "status", status, "tookMS", took.Milliseconds(),
 		"configuration", call.configuration, "replicas", call.replicas, "at", call.at)
 	if status >= http.StatusBadRequest {
+		if !call.deadline.IsZero() {
+			line = line.With("allowedMS", call.deadline.Sub(call.begun).Milliseconds(), "allowedBy", call.allowedBy)
+		}
 		line.Warn("request failed", "outcome", outcome)
 		return
 	}
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -111,6 +111,7 @@
 	facts     dragonflyhatch.CallFacts
 	begun     time.Time
 	deadline  time.Time // by which the caller gets an answer
+	allowedBy string    // who has set the deadline, for the log
 	route     *dragonflyhatch.Route
 	service   dragonflyhatch.UpstreamService
 	owner     *dragonflyhatch.Organisation // nil on a route that needs no key
@@ -183,8 +184,9 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if call.facts.TimeLeft > 0 {
-		timeout = min(timeout, call.facts.TimeLeft)
+	call.allowedBy = "route"
+	if call.facts.TimeLeft > 0 && call.facts.TimeLeft < timeout {
+		timeout, call.allowedBy = call.facts.TimeLeft, "caller"
 	}
 	call.deadline = call.begun.Add(timeout)
 	runs := call.route.MaxReplicas
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -145,10 +145,14 @@
 		return
 	}
 	first := gateway.routing.version == 0
+	table := hatchroute.NewTable(routing)
+	changes := table.ChangesSince(gateway.table.Load())
 	gateway.logger.Info("configuration in force", "version", routing.Version, "before", gateway.routing.version,
-		"routes", len(routing.Routes), "organisations", len(routing.Organisations), "source", source)
+		"routes", len(routing.Routes), "organisations", len(routing.Organisations), "source", source,
+		"added", changes.Added, "removed", changes.Removed, "keysChanged", changes.Keys,
+		"changed", changes.Changed[:min(len(changes.Changed), maxChangesLogged)])
 	gateway.routing = snapshot{routing.Version, value}
-	gateway.table.Store(hatchroute.NewTable(routing))
+	gateway.table.Store(table)
 	gateway.rebuild()
 	if first {
 		close(gateway.hasTable)
@@ -157,6 +161,9 @@
 	gateway.tellNews()
 }
 
+// maxChangesLogged bounds the changed routes that one line of the log names.
+const maxChangesLogged = 16
+
 // rebuild replaces the view; the mutex must be held.
 func (gateway *Gateway) rebuild() {
 	var services map[string]dragonflyhatch.UpstreamService
