--- a/hatchaudit/lines_test.go
+++ b/hatchaudit/lines_test.go
@@ -1,35 +1,17 @@
 package hatchaudit
 
 import (
-	"bytes"
 	"io"
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
-)
-
-// syncBuffer may be written and read by several goroutines.
-type syncBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
 
-func (buffer *syncBuffer) Write(data []byte) (int, error) {
-	buffer.mu.Lock()
-	defer buffer.mu.Unlock()
-	return buffer.buffer.Write(data)
-}
-
-func (buffer *syncBuffer) String() string {
-	buffer.mu.Lock()
-	defer buffer.mu.Unlock()
-	return buffer.buffer.String()
-}
+	"dragonflyhatch/hatchstandin"
+)
 
 func TestLineWriter(t *testing.T) {
 	convey.Convey("Lines that nobody reads keep no one waiting", t, func() {
@@ -44,7 +26,7 @@
 		convey.So(time.Since(begun), convey.ShouldBeLessThan, time.Second)
 	})
 	convey.Convey("What is beyond the bound of a second is counted", t, func() {
-		var out syncBuffer
+		var out hatchstandin.Output
 		lines := NewLineWriter(&out)
 		for range linesPerSecond + 50 {
 			lines.Write([]byte("line\n"))
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -238,7 +238,8 @@
 
 // catchUp fetches from the peer what it knows and this daemon does not.
 func (gateway *Gateway) catchUp(ctx context.Context, peer dragonflyhatch.Gossip) {
-	if peer.RoutingVersion > gateway.versions().RoutingVersion {
+	own := gateway.versions()
+	if peer.RoutingVersion > own.RoutingVersion {
 		_, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotRouting)
 		if err != nil {
 			gateway.logger.Warn("configuration not fetched", "host", peer.From.Host, "error", err)
@@ -246,10 +247,10 @@
 		}
 		gateway.adoptRouting(value, peer.From.Host)
 	}
-	if peer.ReplicasVersion <= gateway.versions().ReplicasVersion {
+	if peer.ReplicasVersion <= own.ReplicasVersion {
 		return
 	}
-	gateway.pause(ctx, behindTime)
+	gateway.pause(ctx, behindTime) // usually the store tells meanwhile
 	if peer.ReplicasVersion <= gateway.versions().ReplicasVersion {
 		return
 	}
