--- a/hatchroute/bench_test.go
+++ b/hatchroute/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"dragonflyhatch"
 	"dragonflyhatch/hatchconfig"
 )
 
@@ -63,3 +64,27 @@
 		})
 	}
 }
+
+// BenchmarkChangesSince compares two configurations of which one route differs.
+func BenchmarkChangesSince(b *testing.B) {
+	for _, count := range []int{500, 2000} {
+		table := func(timeout time.Duration) *Table {
+			routing := new(dragonflyhatch.Routing)
+			for i := range count {
+				name := fmt.Sprint("route-", i)
+				routing.Routes = append(routing.Routes, dragonflyhatch.Route{
+					Name: name, Host: "h.example", Prefix: "/" + name + "/", Services: []dragonflyhatch.WeightedService{{Name: "lm", Weight: 1}},
+				})
+			}
+			routing.Routes[0].Timeout = timeout
+			return NewTable(routing)
+		}
+		older, newer := table(time.Second), table(2*time.Second)
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				newer.ChangesSince(older)
+			}
+		})
+	}
+}
--- a/hatchroute/changes.go
+++ b/hatchroute/changes.go
@@ -35,8 +35,8 @@
 			continue
 		}
 		delete(before, route.Name)
-		if text := describeChange(old, route); text != "" {
-			changes.Changed = append(changes.Changed, text)
+		if !equalRoutes(old, route) {
+			changes.Changed = append(changes.Changed, describeChange(old, route))
 		}
 	}
 	changes.Removed = len(before)
@@ -45,20 +45,25 @@
 	return changes
 }
 
-// describeChange names the fields in which two versions of a route differ; it
-// returns nothing if they do not.
+// equalRoutes says whether two versions of a route are the same. It needs no
+// reflection: small machines compare thousands of routes with each configuration.
+func equalRoutes(a, b *dragonflyhatch.Route) bool {
+	return a.Name == b.Name && a.Host == b.Host && a.Prefix == b.Prefix && a.Class == b.Class &&
+		a.Timeout == b.Timeout && a.Target == b.Target && a.Priority == b.Priority &&
+		slices.Equal(a.Services, b.Services) && a.MaxReplicas == b.MaxReplicas && a.Public == b.Public &&
+		a.Generation == b.Generation && a.Resumable == b.Resumable && a.MaxPause == b.MaxPause
+}
+
+// describeChange names the fields in which two versions of a route differ.
 func describeChange(old, route *dragonflyhatch.Route) string {
-	text := ""
+	text := route.Name + ":"
 	was, is := reflect.ValueOf(*old), reflect.ValueOf(*route)
 	for i := range was.NumField() {
 		if !reflect.DeepEqual(was.Field(i).Interface(), is.Field(i).Interface()) {
 			text += fmt.Sprintf(" %s %v -> %v", was.Type().Field(i).Name, was.Field(i), is.Field(i))
 		}
 	}
-	if text == "" {
-		return ""
-	}
-	return route.Name + ":" + text
+	return text
 }
 
 // missingKeys returns how many keys of the table the other one lacks, or gives to
--- a/hatchroute/changes_test.go
+++ b/hatchroute/changes_test.go
@@ -1,6 +1,7 @@
 package hatchroute
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -35,6 +36,24 @@
 			convey.So(table.ChangesSince(older).Changed, convey.ShouldResemble,
 				[]string{"draft: Timeout 1s -> 400ms Services [{lm 1}] -> [{other 1}]"})
 		})
+		convey.Convey("No field of a route is overlooked", func() {
+			fields := reflect.TypeFor[dragonflyhatch.Route]()
+			for i := range fields.NumField() {
+				route := older.Routes[0]
+				switch field := reflect.ValueOf(&route).Elem().Field(i); field.Kind() {
+				case reflect.String:
+					field.SetString("other")
+				case reflect.Bool:
+					field.SetBool(!field.Bool())
+				case reflect.Slice:
+					field.SetLen(0)
+				default:
+					field.SetInt(field.Int() + 1)
+				}
+				convey.So(equalRoutes(&older.Routes[0], &route), convey.ShouldBeFalse)
+			}
+			convey.So(equalRoutes(&older.Routes[0], &older.Routes[0]), convey.ShouldBeTrue)
+		})
 		convey.Convey("Routes and keys that come and go are counted", func() {
 			table := routing(func(routing *dragonflyhatch.Routing) {
 				routing.Routes[1].Name = "write"
