--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -64,7 +64,9 @@
 
 func (stream *stream) newWatch(pipeline *hatchpath.Pipeline, cancel context.CancelFunc) *watch {
 	watch := &watch{stream: stream, pipeline: pipeline, cancel: cancel, since: time.Now(), silence: firstSilence}
+	watch.mu.Lock() // the timer may fire before it is known here
 	watch.timer = time.AfterFunc(watch.silence, watch.check)
+	watch.mu.Unlock()
 	stream.forwarder.prober.add(watch)
 	return watch
 }
