Hundreds of daemons before thousands of engines: less is done at once

Read from the code, with benchmarks on a busy machine: the view is rebuilt with each change, 10 ms at 3,000 replicas (BenchmarkView); a request without a pipeline looks for one 40 times a second, 1.2 ms each (BenchmarkPipeline); the leader calls all engines at once; replicas are encoded anew for each peer that asks; and daemons know an engine's load by their own requests, so all begin at the same of many equal engines. Small fleets see nothing of it: a rebuild of 42 replicas takes 0.1 ms, and their sites hold 1.2 copies. TestRebuild, TestManyDaemonsSpread (fails without the spread).

--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -19,8 +19,11 @@
 	// defaultPathWait is how long a request waits for a pipeline while lost
 	// layers are loaded again. Callers give up a silent stream after two seconds.
 	defaultPathWait = 1500 * time.Millisecond
-	// pathPoll is the pause between looks for a pipeline.
+	// pathPoll is the pause between looks for a pipeline, and pathRest how many
+	// times as long as a look it is at least: among thousands of engines a look takes
+	// milliseconds, and many requests wait at once.
 	pathPoll = 25 * time.Millisecond
+	pathRest = 50
 	// streamBuffer is what is read of a stream at a time, in bytes.
 	streamBuffer = 4 << 10
 )
@@ -84,6 +87,7 @@
 func (stream *stream) choose() (*hatchpath.Pipeline, error) {
 	giveUp := time.Now().Add(stream.forwarder.pathWait)
 	for {
+		begun := time.Now()
 		pipeline, err := stream.choosePath()
 		if err == nil || time.Now().After(giveUp) {
 			return pipeline, err
@@ -91,7 +95,7 @@
 		select {
 		case <-stream.ctx.Done():
 			return nil, err
-		case <-time.After(pathPoll):
+		case <-time.After(max(pathPoll, pathRest*time.Since(begun))):
 		}
 	}
 }
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -164,8 +164,42 @@
 // maxChangesLogged bounds the changed routes that one line of the log names.
 const maxChangesLogged = 16
 
-// rebuild replaces the view; the mutex must be held.
+const (
+	// rebuildRest is how many times as long as a rebuild of the view takes the next
+	// one waits: with thousands of replicas that change by hundreds a second, as when
+	// a fleet starts, a small machine would do nothing else.
+	rebuildRest = 10
+	// maxRebuildRest bounds the wait, far below the bounds on drains.
+	maxRebuildRest = 300 * time.Millisecond
+)
+
+// rebuild replaces the view now, or soon if it was replaced a moment ago; the
+// mutex must be held.
 func (gateway *Gateway) rebuild() {
+	gateway.encoded = snapshot{}
+	wait := time.Until(gateway.nextRebuild)
+	switch {
+	case gateway.rebuildPlanned: // it will show this change too
+	case wait <= 0:
+		gateway.rebuildNow()
+	default:
+		gateway.rebuildPlanned = true
+		time.AfterFunc(wait, func() {
+			gateway.mu.Lock()
+			defer gateway.mu.Unlock()
+			gateway.rebuildPlanned = false
+			gateway.rebuildNow()
+		})
+	}
+}
+
+// rebuildNow replaces the view; the mutex must be held.
+func (gateway *Gateway) rebuildNow() {
+	begun := time.Now()
+	defer func() {
+		took := time.Since(begun)
+		gateway.nextRebuild = begun.Add(took + min(rebuildRest*took, maxRebuildRest))
+	}()
 	var services map[string]dragonflyhatch.UpstreamService
 	if table := gateway.table.Load(); table != nil {
 		services = table.Services
@@ -255,12 +289,16 @@
 }
 
 // encodeReplicas returns the replicas as JSON for a peer; the mutex must be
-// held.
+// held. The text is kept until the replicas change: many peers ask at once.
 func (gateway *Gateway) encodeReplicas() []byte {
+	if gateway.encoded.value != nil {
+		return gateway.encoded.value
+	}
 	text, err := json.Marshal(gateway.replicas.list())
 	if err != nil { // plain structs always encode
 		gateway.logger.Error("replicas not encoded", "error", err)
 	}
+	gateway.encoded = snapshot{gateway.replicas.version, text}
 	return text
 }
 
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -49,9 +49,13 @@
 	roster   *hatchmember.Roster
 	routing  snapshot
 	replicas replicaSet
+	encoded  snapshot // of the replicas, for peers
 	reports  lossReports
 	leader   leadership
 
+	nextRebuild    time.Time // before which the view is not replaced again
+	rebuildPlanned bool      // it is replaced then
+
 	lastHeard     time.Time // when a peer last answered or called
 	membersDiffer bool      // from those of the peer that was called last
 }
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -21,6 +21,9 @@
 	gossipTimeout = 300 * time.Millisecond
 	// maxLostTold bounds the unreachable replicas in one message.
 	maxLostTold = 32
+	// snapshotPause is the pause of a daemon after it has fetched all replicas, in
+	// which more may change: far below the bounds on drains.
+	snapshotPause = 500 * time.Millisecond
 	// behindTime is how long a peer may know newer replicas before they are
 	// fetched from it: usually the store tells all at once.
 	behindTime = 250 * time.Millisecond
@@ -260,8 +263,15 @@
 		return
 	}
 	gateway.adoptReplicas(version, value, peer.From.Host)
+	if len(value) > largeSnapshot {
+		gateway.pause(ctx, snapshotPause)
+	}
 }
 
+// largeSnapshot is the size of a listing of replicas, in bytes, from which a
+// daemon rests after it has taken one: about 250 replicas.
+const largeSnapshot = 64 << 10
+
 // versions returns the versions up to which the daemon knows all.
 func (gateway *Gateway) versions() dragonflyhatch.Gossip {
 	gateway.mu.Lock()
--- a/hatchgateway/placer.go
+++ b/hatchgateway/placer.go
@@ -28,6 +28,9 @@
 	unknownPatience = 300 * time.Millisecond
 	// reportPause is the pause between two reports of one engine.
 	reportPause = 400 * time.Millisecond
+	// callsAtOnce bounds the engines that are called at a time: thousands are laid out
+	// at once, and each call takes a connection and a descriptor.
+	callsAtOnce = 64
 )
 
 // placer gives orders to engines while its daemon is the leader. It remembers
@@ -39,6 +42,7 @@
 	firstSeen  time.Time
 	orders     map[string]*engineOrder // by replica
 	results    chan orderResult
+	calls      chan struct{} // holds an item for each engine that is being called
 }
 
 // engineOrder is an order to one process of an engine.
@@ -64,6 +68,7 @@
 		gateway: gateway,
 		orders:  make(map[string]*engineOrder),
 		results: make(chan orderResult, 256),
+		calls:   make(chan struct{}, callsAtOnce),
 	}
 	ticker := time.NewTicker(placeInterval)
 	defer ticker.Stop()
@@ -164,6 +169,12 @@
 
 // order asks the engine what it holds and gives it the order that fits.
 func (placer *placer) order(ctx context.Context, placement hatchorder.Placement) {
+	select {
+	case placer.calls <- struct{}{}:
+		defer func() { <-placer.calls }()
+	case <-ctx.Done():
+		return
+	}
 	result := orderResult{replica: placement.Replica, layers: placement.Layers}
 	report, err := placer.gateway.engines.Report(ctx, placement.Replica.Address)
 	switch {
--- /dev/null
+++ b/hatchgateway/rebuild_test.go
@@ -0,0 +1,47 @@
+package hatchgateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"dragonflyhatch"
+	"dragonflyhatch/platform"
+)
+
+func TestRebuild(t *testing.T) {
+	convey.Convey("Given a daemon whose view took long to rebuild a moment ago", t, func() {
+		gateway := New(&platform.Settings{Host: "a", PeerAddress: "127.0.0.1:1", StoreAddress: "127.0.0.1:1"})
+		change := func(number int) {
+			gateway.mu.Lock()
+			defer gateway.mu.Unlock()
+			gateway.replicas.put(dragonflyhatch.Replica{ID: fmt.Sprint("r-", number), Service: "desk", Address: "127.0.0.1:9", Revision: uint64(number)})
+			gateway.rebuild()
+		}
+		shown := func() int { return len(gateway.View().Replicas()) }
+		gateway.mu.Lock()
+		gateway.nextRebuild = time.Now().Add(100 * time.Millisecond)
+		gateway.mu.Unlock()
+		convey.Convey("Changes gather and are all shown soon", func() {
+			for i := range 50 {
+				change(i + 1)
+			}
+			convey.So(shown(), convey.ShouldEqual, 0)
+			for deadline := time.Now().Add(2 * time.Second); shown() < 50 && time.Now().Before(deadline); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			convey.So(shown(), convey.ShouldEqual, 50)
+		})
+		convey.Convey("Peers are handed what is known, not what is shown", func() {
+			change(1)
+			_, value := gateway.Snapshot(dragonflyhatch.SnapshotReplicas)
+			convey.So(strings.Count(string(value), "r-"), convey.ShouldEqual, 1)
+			change(2)
+			_, value = gateway.Snapshot(dragonflyhatch.SnapshotReplicas)
+			convey.So(strings.Count(string(value), "r-"), convey.ShouldEqual, 2)
+		})
+	})
+}
--- /dev/null
+++ b/hatchpath/bench_test.go
@@ -0,0 +1,51 @@
+package hatchpath
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dragonflyhatch"
+)
+
+// largeFleet returns so many engines in three sites that hold pipelines of ten
+// stages of eight layers.
+func largeFleet(engines int) []dragonflyhatch.Replica {
+	var replicas []dragonflyhatch.Replica
+	for i := range engines {
+		stage := i / 3 % 10
+		site := string(rune('a' + i%3))
+		replicas = append(replicas, engine(fmt.Sprintf("%s-%d", site, i), site, "slow", 8*stage, 8*stage+8))
+	}
+	return replicas
+}
+
+// BenchmarkPipeline measures the choice of a pipeline.
+func BenchmarkPipeline(b *testing.B) {
+	for _, engines := range []int{30, 300, 3000} {
+		view := NewView(largeFleet(engines), testServices(80), NewHealths())
+		ask := query()
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			b.ReportAllocs()
+			now := time.Now()
+			for range b.N {
+				if _, err := view.Pipeline(now, ask); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkView measures what a change of one registration costs.
+func BenchmarkView(b *testing.B) {
+	for _, engines := range []int{30, 300, 3000} {
+		replicas, services, healths := largeFleet(engines), testServices(80), NewHealths()
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				NewView(replicas, services, healths)
+			}
+		})
+	}
+}
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -73,6 +73,13 @@
 	// waitWeight weighs the seconds that streams of a pipeline's head have lately
 	// taken to their first event, against KV memory in use.
 	waitWeight = 1
+	// copiesSpread is by how much of its cost an engine may look dearer to a request,
+	// at random, for each copy of the layers that a site has beyond plainCopies, and
+	// maxSpread bounds it. A daemon knows the load of an engine by its own requests, so
+	// hundreds of daemons would all begin with the same of many equal engines.
+	copiesSpread = 0.1
+	plainCopies  = 2.0
+	maxSpread    = 1.0
 	// siteSpread is the range of a random share that is added to the KV memory in
 	// use, so that the daemons that lose a pipeline at once do not all choose the
 	// same other one.
@@ -181,6 +188,7 @@
 	var spans []span
 	boundary := make([]bool, layers+1)
 	boundary[0], boundary[layers] = true, true
+	spread := set.spread(nodes)
 	for _, node := range nodes {
 		if node.Held.Version != version || node.Held.First >= layers || !usable(node) {
 			continue
@@ -188,6 +196,9 @@
 		one := span{node: node, LayerRange: node.Held.LayerRange}
 		one.End = min(one.End, layers)
 		one.perLayer = set.layerCost(node) * node.Pace(now) * (1 + fillWeight*set.nodeFill(node, query.Daemons))
+		if spread > 0 {
+			one.perLayer *= 1 + spread*query.Random.Float64()
+		}
 		spans = append(spans, one)
 		boundary[one.First], boundary[one.End] = true, true
 	}
@@ -210,6 +221,17 @@
 	return traceCover(steps, layers)
 }
 
+// spread returns by how much of its cost an engine among the nodes may look dearer
+// at random.
+func (set *engineSet) spread(nodes []*Node) float64 {
+	held := 0
+	for _, node := range nodes {
+		held += node.Held.End - node.Held.First
+	}
+	copies := float64(held) / float64(set.model.Layers)
+	return min(max(copiesSpread*(copies-plainCopies), 0), maxSpread)
+}
+
 // span is a range that a node could run, and what a layer of it costs.
 type span struct {
 	node *Node
--- a/hatchpath/pipeline_test.go
+++ b/hatchpath/pipeline_test.go
@@ -34,6 +34,33 @@
 	return Query{Service: "lm", Site: "a", Tokens: 100, Exclude: exclude, Daemons: 1, Random: rand.New(rand.NewPCG(1, 2))}
 }
 
+func TestManyDaemonsSpread(t *testing.T) {
+	convey.Convey("Daemons that know of no load do not all begin at the same of many equal engines", t, func() {
+		var replicas []dragonflyhatch.Replica
+		const engines = 60
+		for i := range engines {
+			replicas = append(replicas, engine(fmt.Sprint("a", i), "a", "slow", i%2*5, i%2*5+5))
+		}
+		begun := make(map[string]int)
+		const daemons = 300
+		for i := range daemons {
+			view := NewView(replicas, testServices(10), NewHealths())
+			ask := query()
+			ask.Daemons, ask.Random = daemons, rand.New(rand.NewPCG(uint64(i), 1))
+			pipeline, err := view.Pipeline(start, ask)
+			convey.So(err, convey.ShouldBeNil)
+			for _, node := range pipeline.Nodes {
+				begun[node.ID]++
+			}
+		}
+		// Each stage has 30 engines, so that each gets ten requests in the mean.
+		for _, count := range begun {
+			convey.So(count, convey.ShouldBeLessThan, 30)
+		}
+		convey.So(len(begun), convey.ShouldBeGreaterThan, engines*3/4)
+	})
+}
+
 func TestPipeline(t *testing.T) {
 	convey.Convey("Given two sites with a pipeline each", t, func() {
 		healths := NewHealths()
