A stop is not delayed by unused connections; a takeover with a lost reply is fenced

Cause, stop: http.Server.Shutdown waits 5 s for a connection on which no byte was sent, and the last calls of a stopping daemon have 3 s, so that a stop that had cut nothing ended with "context deadline exceeded". Shown by TestStopWithUnusedConnections, which fails on the code before. Cause, ports: freeAddresses lets ports of 127.0.0.1 go before the hosts listen on them, and outgoing connections take them. Addresses of a random loopback host are never taken so. Cause, takeover: LeaseRead did not set takeoverFencing when a read shows that this process's own write was applied though its reply was lost, so an engine that held its target counted as converged without having seen the new fencing number; a late command of the former holder was still applied. Shown by TestTakeoverWithLostReplyIsFenced, which fails on the code before. Ruled out for the stop: calls of peers in progress; the log shows the stop complete and no call open.

--- a/hatchorder/events.go
+++ b/hatchorder/events.go
@@ -15,10 +15,29 @@
 		return nil
 	}
 	reconciler.leaseFresh = true
+	previous := reconciler.lease.Holder
 	reconciler.lease, reconciler.leaseVersion = lease, leaseVersion
+	if lease.Holder == reconciler.self && previous != reconciler.self {
+		// A write of this process was applied, but its reply was lost.
+		return reconciler.takeOver(now, previous)
+	}
 	return reconciler.Step(now)
 }
 
+// takeOver begins to reconcile under the lease that this process has taken over
+// from the previous holder. Every engine is queried again.
+func (reconciler *Reconciler) takeOver(now time.Time, previous string) []Action {
+	reconciler.takeoverFencing = reconciler.lease.Fencing
+	reconciler.queryAllEngines()
+	return append(reconciler.Step(now), ReportTakeover{From: previous, Fencing: reconciler.lease.Fencing})
+}
+
+func (reconciler *Reconciler) queryAllEngines() {
+	for _, engine := range reconciler.engines {
+		engine.nextQuery = time.Time{}
+	}
+}
+
 // LeaseWritten handles the result of WriteLease. If the write is known to have
 // been applied, applied is set and leaseVersion is the new version. Otherwise the
 // lease is read again: a write that was applied although its reply was lost is
@@ -33,16 +52,10 @@
 	previous := reconciler.lease.Holder
 	reconciler.lease, reconciler.leaseVersion = write.Lease, leaseVersion
 	if previous != reconciler.self {
-		reconciler.takeoverFencing = write.Lease.Fencing
-	}
-	for _, engine := range reconciler.engines {
-		engine.nextQuery = time.Time{}
+		return reconciler.takeOver(now, previous)
 	}
-	actions := reconciler.Step(now)
-	if previous != reconciler.self {
-		actions = append(actions, ReportTakeover{From: previous, Fencing: write.Lease.Fencing})
-	}
-	return actions
+	reconciler.queryAllEngines()
+	return reconciler.Step(now)
 }
 
 // EngineQueried handles the result of QueryEngine; ok is false if the engine did not
--- a/hatchorder/reconciler_test.go
+++ b/hatchorder/reconciler_test.go
@@ -265,3 +265,55 @@
 	})
 	t.Logf("%d commands and lease writes arrived late", delayed)
 }
+
+// takeLease makes the process read and write the lease until it is the holder, and
+// returns the actions that follow. The reply to its write is lost if lost is set.
+func takeLease(reconciler *Reconciler, now time.Time, lease *Lease, version *uint64, lost bool) []Action {
+	for range 4 {
+		actions := reconciler.Step(now)
+		for i := 0; i < len(actions); i++ {
+			switch action := actions[i].(type) {
+			case ReadLease:
+				actions = append(actions, reconciler.LeaseRead(now, *lease, *version, true)...)
+			case WriteLease:
+				*lease = action.Lease
+				*version++
+				actions = append(actions, reconciler.LeaseWritten(now, action, *version, !lost)...)
+			case QueryEngine, SendCommand:
+				return actions[i:]
+			}
+		}
+		now = now.Add(DefaultOptions().RetryInterval)
+	}
+	return nil
+}
+
+func TestTakeoverWithLostReplyIsFenced(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		now := time.Unix(0, 0)
+		var lease Lease
+		var version uint64
+		engine := &fakeEngine{checksFencing: true}
+		first, second := New("p1", DefaultOptions()), New("p2", DefaultOptions())
+		targets := func(version int) map[string]Target { return map[string]Target{"e": {heldVersion(version), true}} }
+
+		first.SetTargets(targets(1))
+		first.SetElected(true)
+		takeLease(first, now, &lease, &version, false)
+		first.EngineQueried(now, "e", engine.held, true)
+		engine.apply(dragonflyhatch.EngineCommand{ModelLayers: heldVersion(1), Fencing: lease.Fencing})
+		late := dragonflyhatch.EngineCommand{ModelLayers: heldVersion(2), Fencing: lease.Fencing}
+
+		second.SetTargets(targets(1))
+		second.SetElected(true)
+		takeLease(second, now.Add(time.Second), &lease, &version, lost)
+		for _, action := range second.EngineQueried(now.Add(3*time.Second), "e", engine.held, true) {
+			if command, ok := action.(SendCommand); ok {
+				second.CommandFinished(now, "e", engine.apply(command.Command))
+			}
+		}
+		if outcome := engine.apply(late); outcome != CommandRefused {
+			t.Errorf("reply lost %t: the engine took a command of the former holder: %v, fencing %d", lost, outcome, engine.highestFencing)
+		}
+	}
+}
--- a/hatchproof/faults_test.go
+++ b/hatchproof/faults_test.go
@@ -1,6 +1,7 @@
 package hatchproof
 
 import (
+	"net"
 	"os"
 	"strings"
 	"syscall"
@@ -144,6 +145,24 @@
 	}
 }
 
+// TestStopWithUnusedConnections stops a host to which connections are open on which
+// no byte was sent. Such a connection must not make the stop fail.
+func TestStopWithUnusedConnections(t *testing.T) {
+	fleet := startFleet(t, 2, 1)
+	stopped := fleet.hosts[0]
+	for _, address := range []string{stopped.settings.PeerAddress, stopped.settings.OperatorAddress} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	stopped.signal(syscall.SIGTERM)
+	if err := <-stopped.exited; err != nil {
+		t.Errorf("%s did not stop gracefully: %v", stopped.settings.Host, err)
+	}
+}
+
 // TestRequestsCutByStopAreLogged stops a host whose completions take longer than its
 // stop bound. The host must log the requests that this cuts, and exit with an error.
 func TestRequestsCutByStopAreLogged(t *testing.T) {
--- a/hatchproof/fleet_test.go
+++ b/hatchproof/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -104,12 +105,15 @@
 	logFile      string
 }
 
-// freeAddresses returns unused loopback addresses.
+// freeAddresses returns unused loopback addresses. They share a random address of
+// the loopback range other than 127.0.0.1: the ports of that one may be taken by
+// outgoing connections before the caller listens on them.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
 	addresses := make([]string, count)
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", host)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/hatchserve/run.go
+++ b/hatchserve/run.go
@@ -140,7 +140,9 @@
 const finishTimeout = 3 * time.Second
 
 // finish writes the rest of the audit trail, removes the registration and
-// closes the remaining listeners.
+// closes the remaining listeners. All callers have their responses by then, so
+// connections of peers and operators that are still open are closed: a connection
+// that was never used would otherwise delay the stop for 5 s.
 func (daemon *Daemon) finish(listeners ...*listener) error {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
@@ -152,7 +154,10 @@
 	}
 	var err error
 	for _, listener := range listeners {
-		err = errors.CombineErrors(err, listener.server.Shutdown(ctx))
+		if listener.server.Shutdown(ctx) != nil {
+			daemon.logger.Info("closing the remaining connections", "name", listener.name)
+			err = errors.CombineErrors(err, listener.server.Close())
+		}
 	}
 	return err
 }
