--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -248,12 +248,9 @@
 func (follower replicaFollower) decodeReplicas(objects []dragonflyhatch.Object) []dragonflyhatch.Replica {
 	var list []dragonflyhatch.Replica
 	for _, object := range objects {
-		replica, err := platform.DecodeReplica(object)
-		if err != nil {
-			follower.logger.Warn("decoding registration failed", "object", object.Name, "error", err)
-			continue
+		if replica, ok := follower.registrations.decode(object); ok {
+			list = append(list, replica)
 		}
-		list = append(list, replica)
 	}
 	return list
 }
@@ -281,10 +278,8 @@
 		follower.replicas.recordChange(removal, now)
 		return
 	}
-	replica, err := platform.DecodeReplica(object)
-	if err != nil {
-		// An object that cannot be decoded names no usable replica.
-		follower.logger.Warn("decoding registration failed", "object", object.Name, "error", err)
+	replica, ok := follower.registrations.decode(object)
+	if !ok { // it replaces a registration that was usable
 		follower.replicas.remove(id, object.Version, now)
 		follower.replicas.recordChange(removal, now)
 		return
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -33,6 +33,8 @@
 	engines dragonflyhatch.EngineControl
 	peers   *hatchpeer.FleetClient
 
+	registrations registrationDecoder
+
 	forwarder   *hatchforward.Forwarder
 	healths     *hatchpath.HealthSet
 	table       atomic.Pointer[hatchroute.Table]
@@ -102,6 +104,7 @@
 	for _, option := range options {
 		option(gateway)
 	}
+	gateway.registrations.logger = gateway.logger
 	gateway.roster = hatchmember.NewRoster(dragonflyhatch.Member{
 		Host:          settings.Host,
 		Site:          settings.Site,
--- /dev/null
+++ b/hatchgateway/oddentries.go
@@ -0,0 +1,46 @@
+package hatchgateway
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"dragonflyhatch"
+	"dragonflyhatch/platform"
+)
+
+// oddEntryLogInterval is the minimum time between two log lines about registrations
+// that cannot be decoded: another program may write any number of them.
+const oddEntryLogInterval = 5 * time.Second
+
+// registrationDecoder decodes registrations and logs those that name no usable
+// replica, at a bounded rate. It is safe for concurrent use.
+type registrationDecoder struct {
+	logger *slog.Logger
+
+	mu      sync.Mutex
+	nextLog time.Time
+	omitted int // failures since the last line
+}
+
+// decode returns the replica of a registration, or false if the object describes no
+// usable replica.
+func (decoder *registrationDecoder) decode(object dragonflyhatch.Object) (dragonflyhatch.Replica, bool) {
+	replica, err := platform.DecodeReplica(object)
+	if err != nil {
+		decoder.logFailure(object, err)
+	}
+	return replica, err == nil
+}
+
+func (decoder *registrationDecoder) logFailure(object dragonflyhatch.Object, err error) {
+	decoder.mu.Lock()
+	defer decoder.mu.Unlock()
+	now := time.Now()
+	if now.Before(decoder.nextLog) {
+		decoder.omitted++
+		return
+	}
+	decoder.logger.Warn("decoding registration failed", "object", object.Name, "revision", object.Version, "error", err, "omitted", decoder.omitted)
+	decoder.nextLog, decoder.omitted = now.Add(oddEntryLogInterval), 0
+}
