Bounds on what replicas and callers send; leaving replicas and Retry-After are heeded

Cause, endless bytes: heads, informational responses and single events had no bound and plain bodies 16 MB each. Cause, streams: any byte counted as progress, so that a stalled stream with a byte now and then lasted to its deadline; a silent one was abandoned after 1.2 s even where it had nowhere to go or no retry token, which failed sound streams. The new rules (Server-Leaving, Retry-After) were not known to the code. Change: 64 KB for a head with all informational responses, 256 KB for an event; large bodies of requests and plain responses share an eighth of the machine's memory, small ones need none. A request's body must arrive before the deadline. Only an event with data is progress; a silent stream whose replicas are alive moves only if there is another pipeline and a retry token, which is spent first. A process that states that it is leaving gets no more requests from this daemon, also if its registration was missing for a while, and its peers learn of it by gossip. A 503 with Retry-After keeps requests away for that time (a minute at most); where all replicas want nothing, the caller is refused at once with the shortest time. Ruled out: a bound on each body alone (40 of 16 MB exceed the machine).

--- a/failure.go
+++ b/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -11,6 +12,8 @@
 	Kind   Kind
 	Detail string
 	Cause  error // underlying error, or nil
+
+	RetryAfter time.Duration // after which the request may be served, or 0 if unknown
 }
 
 // Failf returns a Failure of the kind with a formatted detail.
--- a/fleet.go
+++ b/fleet.go
@@ -18,10 +18,11 @@
 // periodically.
 type Gossip struct {
 	From               Member
-	Members            []Member // some of the members that the sender knows
-	MembersDigest      uint64   // of all members that the sender knows; equal digests mean equal members
-	Suspects           []string // hosts that do not answer the sender
-	LostReplicas       []string // addresses that do not answer the sender
+	Members            []Member         // some of the members that the sender knows
+	MembersDigest      uint64           // of all members that the sender knows; equal digests mean equal members
+	Suspects           []string         // hosts that do not answer the sender
+	LostReplicas       []string         // addresses that do not answer the sender
+	LeavingReplicas    []ReplicaProcess // processes that stated in a response that they are leaving
 	RoutingVersion     uint64
 	ReplicasVersion    uint64
 	ReplicaUpdates     []ReplicaChange // the most recent changes, oldest first
@@ -30,6 +31,18 @@
 	Term               uint64          // term of the leader
 }
 
+// ReplicaProcess identifies one process of a replica.
+type ReplicaProcess struct {
+	ID      string
+	Address string
+	Started int64 // Unix milliseconds
+}
+
+// Process returns the identity of the replica's process.
+func (replica Replica) Process() ReplicaProcess {
+	return ReplicaProcess{ID: replica.ID, Address: replica.Address, Started: replica.Started}
+}
+
 // ReplicaChange is a change to the registration of one replica.
 type ReplicaChange struct {
 	Replica Replica `json:"replica"` // only ID and Revision are set if Removed
--- a/gateway.go
+++ b/gateway.go
@@ -184,11 +184,13 @@
 
 // ResponseInfo is the information in the headers of a replica's response.
 type ResponseInfo struct {
-	ID            string // of the request
-	Sealed        bool   // the response has the seal of the replica; required of a successful response
-	NotRun        bool   // the replica reports that it did not run the request
-	FaultyReplica string // address of the replica that a refusal names as its cause, or empty
-	Closing       bool   // the replica closes the connection, for example because it is leaving
+	ID            string        // of the request
+	Sealed        bool          // the response has the seal of the replica; required of a successful response
+	NotRun        bool          // the replica reports that it did not run the request
+	FaultyReplica string        // address of the replica that a refusal names as its cause, or empty
+	Closing       bool          // the replica closes the connection, for example because it is leaving
+	Leaving       bool          // the replica states that it is leaving
+	RetryAfter    time.Duration // how long a replica that refused wants no further request, or 0
 	Load          *ServiceLoad
 	ReplicaID     string // id of the replica, if given
 }
--- a/hatchforward/exchange.go
+++ b/hatchforward/exchange.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,12 +20,17 @@
 	// hundred times the one-way latency of the network, so that only a dead or
 	// disconnected replica exceeds it.
 	dialTimeout = 200 * time.Millisecond
+	// maxHeadSize bounds the size in bytes of the head of a response, with all
+	// informational responses before it.
+	maxHeadSize = 64 << 10
 	// maxPlainBodySize bounds the size in bytes of the body of a plain response,
 	// which is held in memory.
 	maxPlainBodySize = 16 << 20
 	readBufferSize   = 4 << 10 // bytes
 )
 
+var errHeadTooLong = errors.Newf("the head of the response exceeds %d bytes", maxHeadSize)
+
 // outgoingRequest is a request as it is sent to a replica.
 type outgoingRequest struct {
 	address string
@@ -40,11 +44,32 @@
 // exchange is one request and its response on a separate connection.
 type exchange struct {
 	conn          net.Conn
+	source        headReader // what reader reads from
 	reader        *bufio.Reader
 	response      *http.Response
 	detachContext func() bool // stops the context from closing the connection
 }
 
+// headReader reads a connection. It fails after maxHeadSize bytes until headDone is
+// set.
+type headReader struct {
+	conn     net.Conn
+	read     int
+	headDone bool
+}
+
+func (reader *headReader) Read(buffer []byte) (int, error) {
+	if !reader.headDone {
+		if reader.read >= maxHeadSize {
+			return 0, errHeadTooLong
+		}
+		buffer = buffer[:min(len(buffer), maxHeadSize-reader.read)]
+	}
+	count, err := reader.conn.Read(buffer)
+	reader.read += count
+	return count, err
+}
+
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
 
 // openExchange opens a connection, sends the request and reads the status line and
@@ -58,9 +83,8 @@
 			Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: "no connection to " + request.address, Cause: err,
 		}
 	}
-	reader := readerPool.Get().(*bufio.Reader)
-	reader.Reset(conn)
-	replicaExchange := &exchange{conn: conn, reader: reader}
+	replicaExchange := &exchange{conn: conn, source: headReader{conn: conn}, reader: readerPool.Get().(*bufio.Reader)}
+	replicaExchange.reader.Reset(&replicaExchange.source)
 	replicaExchange.detachContext = context.AfterFunc(ctx, func() { conn.Close() })
 	if err := replicaExchange.send(request); err != nil {
 		replicaExchange.close()
@@ -100,6 +124,7 @@
 		}
 		exchange.response = response
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			exchange.source.headDone = true
 			return nil
 		}
 	}
@@ -117,15 +142,6 @@
 	return head.Bytes()
 }
 
-// readAll reads the body of the response. It fails if the body is incomplete.
-func (exchange *exchange) readAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(exchange.response.Body, maxPlainBodySize+1))
-	if err == nil && len(body) > maxPlainBodySize {
-		err = errors.Newf("response body exceeds %d bytes", maxPlainBodySize)
-	}
-	return body, err
-}
-
 // close closes the connection. The replica then cancels its work on the request.
 func (exchange *exchange) close() {
 	exchange.detachContext()
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,8 @@
 	RequestRetryTokens(service string, credit func(granted int))
 	// ReportUnreachable is called when a replica is found to be unreachable.
 	ReportUnreachable(replica dragonflyhatch.Replica)
+	// ReportLeaving is called when a replica first states that it is leaving.
+	ReportLeaving(replica dragonflyhatch.Replica)
 }
 
 // Forwarder is the HTTP handler that serves callers' requests.
@@ -51,6 +54,7 @@
 	random       *rand.Rand
 	pipelineWait time.Duration
 	engines      dragonflyhatch.EngineControl // for slowdown reports; nil if none are requested
+	memory       *bodyMemory
 
 	mu      sync.Mutex
 	budgets map[string]*serviceBudget // by service
@@ -85,6 +89,12 @@
 	return func(forwarder *Forwarder) { forwarder.pipelineWait = wait }
 }
 
+// WithBodyMemory sets the memory in bytes for the large bodies of requests and plain
+// responses together.
+func WithBodyMemory(size int64) Option {
+	return func(forwarder *Forwarder) { forwarder.memory = newBodyMemory(size) }
+}
+
 // New returns a forwarder.
 func New(fleet Fleet, dialect dragonflyhatch.Dialect, options ...Option) *Forwarder {
 	forwarder := &Forwarder{
@@ -95,6 +105,7 @@
 		random:       hatchpath.NewSharedRandom(),
 		budgets:      make(map[string]*serviceBudget),
 		pipelineWait: defaultPipelineWait,
+		memory:       newBodyMemory(defaultBodyMemory),
 	}
 	for _, option := range options {
 		option(forwarder)
@@ -119,6 +130,7 @@
 	service        dragonflyhatch.UpstreamService
 	organisation   *dragonflyhatch.Organisation // nil on a route that needs no key
 	body           []byte
+	memory         reservation // of the request's and the responses' bodies
 	attempts       *hatchretry.Attempts
 	logger         *slog.Logger
 	ctx            context.Context // done when the caller disconnects or the deadline passes
@@ -140,7 +152,9 @@
 		request:   request,
 		info:      forwarder.dialect.ParseRequest(request.Header),
 		started:   time.Now(),
+		memory:    reservation{memory: forwarder.memory},
 	}
+	defer call.memory.release()
 	call.logger = forwarder.logger.With("request", call.info.ID)
 	if err := call.admit(); err != nil {
 		call.refuse(err)
@@ -203,20 +217,32 @@
 	call.attempts = hatchretry.NewAttempts(call.deadline, false, hatchretry.WithMaxRuns(runs))
 }
 
+// readBody reads the request's body, of at most limit bytes, until the deadline. A
+// limit of 0 is none.
 func (call *call) readBody(limit int64) error {
 	body := io.Reader(call.request.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(call.writer, call.request.Body, limit)
 	}
+	controller := http.NewResponseController(call.writer)
+	_ = controller.SetReadDeadline(call.deadline) // not supported by writers without a connection
 	var err error
-	if call.body, err = io.ReadAll(body); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return dragonflyhatch.Failf(dragonflyhatch.KindRequestTooLarge, "request body exceeds %d bytes", limit)
-		}
-		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindBadRequest, Detail: "reading the request body: " + err.Error(), Cause: err}
+	call.body, err = call.memory.readBody(body, 0)
+	_ = controller.SetReadDeadline(time.Time{}) // net/http goes on reading to notice that the caller disconnects
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return dragonflyhatch.Failf(dragonflyhatch.KindRequestTooLarge, "request body exceeds %d bytes", limit)
+	case errors.Is(err, errNoBodyMemory):
+		call.writer.Header().Set("Connection", "close") // the rest of the body is not read
+		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindOverloaded, Detail: err.Error(), Cause: err}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		call.writer.Header().Set("Connection", "close")
+		return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindRequestTimeout, Detail: "reading the request body: " + err.Error(), Cause: err}
 	}
-	return nil
+	return &dragonflyhatch.Failure{Kind: dragonflyhatch.KindBadRequest, Detail: "reading the request body: " + err.Error(), Cause: err}
 }
 
 // Spend takes one retry token from the budget of the call's service, and reports
@@ -230,18 +256,33 @@
 	return ok
 }
 
-// query returns the criteria by which a replica for the call is chosen.
-func (call *call) query() hatchpath.Query {
+// query returns the criteria by which a replica for the call is chosen after the
+// attempts.
+func (call *call) query(attempts *hatchretry.Attempts) hatchpath.Query {
 	return hatchpath.Query{
 		Service: call.service.Name,
 		Site:    call.forwarder.site,
 		Tokens:  call.info.PromptTokens + call.info.OutputTokens,
-		Exclude: call.attempts.Excluded(),
+		Exclude: attempts.Excluded(),
 		Daemons: call.forwarder.fleet.Daemons(),
 		Random:  call.forwarder.random,
 	}
 }
 
+// observe records in the node what the head of its response states about it.
+func (call *call) observe(node *hatchpath.Node, status int, info dragonflyhatch.ResponseInfo) {
+	now := time.Now()
+	if info.Load != nil {
+		node.RecordLoad(now, *info.Load)
+	}
+	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
+		node.Pause(now, info.RetryAfter)
+	}
+	if info.Leaving && node.MarkLeaving(now) {
+		call.forwarder.fleet.ReportLeaving(node.Replica)
+	}
+}
+
 // organisationName returns the name of the organisation, or an empty string.
 func (call *call) organisationName() string {
 	if call.organisation == nil {
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -100,7 +100,7 @@
 // chooseReplica returns a replica of a plain service. It excludes those whose
 // attempts have failed, and those already tried unless there is no other.
 func (call *call) chooseReplica(tried ...string) (*hatchpath.Node, error) {
-	now, view, query := time.Now(), call.forwarder.fleet.View(), call.query()
+	now, view, query := time.Now(), call.forwarder.fleet.View(), call.query(call.attempts)
 	call.replicasVersion = view.Version()
 	failed := query.Exclude
 	query.Exclude = slices.Concat(failed, tried)
@@ -125,13 +125,8 @@
 		call.forwarder.prober.markUnreachable(node)
 	case err != nil:
 		node.RecordResponse(now, now.Sub(started), true)
-	default:
-		if replicaResponse.info.Load != nil {
-			node.RecordLoad(now, *replicaResponse.info.Load)
-		}
-		if !replicaResponse.info.NotRun {
-			node.RecordResponse(now, now.Sub(started), replicaResponse.status >= http.StatusInternalServerError)
-		}
+	case !replicaResponse.info.NotRun:
+		node.RecordResponse(now, now.Sub(started), replicaResponse.status >= http.StatusInternalServerError)
 	}
 	return plainResult{node, replicaResponse, err}
 }
@@ -144,16 +139,14 @@
 		return nil, err
 	}
 	defer replicaExchange.close()
-	body, err := replicaExchange.readAll()
+	status, header := replicaExchange.response.StatusCode, replicaExchange.response.Header
+	info := call.forwarder.dialect.ParseResponse(status, header)
+	call.observe(node, status, info)
+	body, err := call.memory.readBody(replicaExchange.response.Body, maxPlainBodySize)
 	if err != nil {
 		return nil, upstreamLost(node.Address, err)
 	}
-	return call.checkResponse(node.Address, &replicaResponse{
-		status: replicaExchange.response.StatusCode,
-		header: replicaExchange.response.Header,
-		info:   call.forwarder.dialect.ParseResponse(replicaExchange.response.StatusCode, replicaExchange.response.Header),
-		body:   body,
-	})
+	return call.checkResponse(node.Address, &replicaResponse{status: status, header: header, info: info, body: body})
 }
 
 // checkResponse returns an error unless the response belongs to the request and,
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dragonflyhatch"
@@ -207,6 +208,8 @@
 
 	grantDelay time.Duration // until the other daemons grant them
 
+	leavingReports atomic.Int32
+
 	confirmedByPeers bool // the other daemons cannot reach the replicas that this one cannot reach
 }
 
@@ -226,6 +229,8 @@
 
 func (fleet *fakeFleet) ReportUnreachable(dragonflyhatch.Replica) {}
 
+func (fleet *fakeFleet) ReportLeaving(dragonflyhatch.Replica) { fleet.leavingReports.Add(1) }
+
 const (
 	testLayers  = 4
 	testTimeout = 600 * time.Millisecond
--- a/hatchforward/response.go
+++ b/hatchforward/response.go
@@ -18,7 +18,7 @@
 	errorResponse := failure.Kind.ErrorResponse()
 	header := call.writer.Header()
 	if errorResponse.Retry && errorResponse.Ran == dragonflyhatch.RanNo {
-		call.forwarder.dialect.SetRetryAfter(header, refusedRetryAfter)
+		call.forwarder.dialect.SetRetryAfter(header, max(refusedRetryAfter, failure.RetryAfter))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	text := errorResponse.Title + "\n"
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -13,6 +13,7 @@
 
 	"dragonflyhatch"
 	"dragonflyhatch/hatchpath"
+	"dragonflyhatch/hatchretry"
 )
 
 const (
@@ -39,6 +40,16 @@
 	lastEventAt time.Time // when events were last forwarded
 	resumeAfter string    // id of the last event that the caller has received, also from earlier requests
 	flusher     http.Flusher
+	prepaid     bool // the watch has spent the retry token of the next attempt
+}
+
+// Spend takes one retry token, unless the watch has done so already.
+func (stream *stream) Spend() bool {
+	if stream.prepaid {
+		stream.prepaid = false
+		return true
+	}
+	return stream.call.Spend()
 }
 
 // serveStream forwards the events of a pipeline. When the pipeline fails, the
@@ -81,17 +92,17 @@
 		return stream.handleFailure(now, failure, culprits...)
 	}
 	stream.recordFailure(now, failure, culprits)
-	return stream.attempts.HandleReplicaFailure(now, failure, pipeline.Nodes[0].Address, culprits, stream.call)
+	return stream.attempts.HandleReplicaFailure(now, failure, pipeline.Nodes[0].Address, culprits, stream)
 }
 
 // awaitPipeline returns a pipeline. If there is none, it waits for one for up to
-// pipelineWait.
+// pipelineWait, but not for engines that have refused requests for longer.
 func (stream *stream) awaitPipeline() (*hatchpath.Pipeline, error) {
 	waitUntil := time.Now().Add(stream.forwarder.pipelineWait)
 	for {
 		started := time.Now()
 		pipeline, err := stream.choosePipeline()
-		if err == nil || time.Now().After(waitUntil) {
+		if err == nil || time.Now().Add(dragonflyhatch.FailureOf(err).RetryAfter).After(waitUntil) {
 			return pipeline, err
 		}
 		select {
@@ -108,7 +119,7 @@
 	if stream.service.Model != nil {
 		view := stream.forwarder.fleet.View()
 		stream.replicasVersion = view.Version()
-		return stream.chooseEnginePipeline(view)
+		return stream.chooseEnginePipeline(view, stream.attempts, stream.headersSent)
 	}
 	node, err := stream.chooseReplica()
 	if err != nil {
@@ -119,14 +130,16 @@
 
 // chooseEnginePipeline returns a pipeline of engines. Once the request has reached
 // its limit of replicas, the head must be one that may have run it already; the one
-// that failed last is used only if no other is available.
-func (stream *stream) chooseEnginePipeline(view *hatchpath.View) (*hatchpath.Pipeline, error) {
-	query := stream.query()
-	query.AnySite = stream.headersSent
-	if query.AllowedHeads = stream.attempts.AllowedReplicas(stream.forwarder.fleet.IsGone); query.AllowedHeads == nil {
+// that failed last is used only if no other is available. The flag resumed means that
+// the caller has received a part of the stream. It reads no field of the stream that
+// changes while an attempt is in progress.
+func (stream *stream) chooseEnginePipeline(view *hatchpath.View, attempts *hatchretry.Attempts, resumed bool) (*hatchpath.Pipeline, error) {
+	query := stream.query(attempts)
+	query.AnySite = resumed
+	if query.AllowedHeads = attempts.AllowedReplicas(stream.forwarder.fleet.IsGone); query.AllowedHeads == nil {
 		return view.Pipeline(time.Now(), query)
 	}
-	lastFailed := stream.attempts.LastFailedReplica()
+	lastFailed := attempts.LastFailedReplica()
 	query.Exclude = slices.DeleteFunc(slices.Clone(query.Exclude), func(address string) bool {
 		return address != lastFailed && slices.Contains(query.AllowedHeads, address)
 	})
@@ -176,9 +189,7 @@
 	response := replicaExchange.response
 	info := stream.forwarder.dialect.ParseResponse(response.StatusCode, response.Header)
 	head.MarkReachable(time.Now())
-	if info.Load != nil {
-		head.RecordLoad(time.Now(), *info.Load)
-	}
+	stream.observe(head, response.StatusCode, info)
 	if response.StatusCode == http.StatusOK && isEventStream(response.Header) {
 		if !info.Sealed || info.ID != "" && info.ID != stream.info.ID {
 			return stream.diagnoseFailure(pipeline, watch, errors.New("the response has no seal or belongs to another request"))
@@ -193,7 +204,7 @@
 		}
 		return nil, nil
 	}
-	body, err := replicaExchange.readAll()
+	body, err := stream.memory.readBody(response.Body, maxPlainBodySize)
 	if err != nil {
 		return stream.diagnoseFailure(pipeline, watch, err)
 	}
@@ -271,10 +282,11 @@
 	if failure.Kind != dragonflyhatch.KindUpstreamUnavailable {
 		failure = &dragonflyhatch.Failure{Kind: dragonflyhatch.KindUpstreamLost, Detail: err.Error(), Cause: err}
 	}
-	culprits, reason := watch.result()
+	culprits, reason, prepaid := watch.result()
 	if reason != "" {
 		failure.Detail = reason
 	}
+	stream.prepaid = prepaid
 	if len(culprits) == 0 {
 		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes, pipeline.Nodes[0])
 	}
@@ -293,13 +305,14 @@
 	for {
 		watch.startWaiting()
 		count, err := body.Read(buffer)
-		watch.recordRead(count > 0)
-		if count > 0 {
-			watch.recordStageProgress()
-			if events, id := splitter.add(buffer[:count]); len(events) > 0 {
-				if writeErr := stream.writeEvents(replicaExchange, events, id); writeErr != nil {
-					return writeErr
-				}
+		events, id, eventErr := splitter.add(buffer[:count])
+		watch.recordRead(carryData(events))
+		if eventErr != nil {
+			return eventErr
+		}
+		if len(events) > 0 {
+			if writeErr := stream.writeEvents(replicaExchange, events, id); writeErr != nil {
+				return writeErr
 			}
 		}
 		if err == nil {
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dragonflyhatch/hatchpath"
+	"dragonflyhatch/hatchretry"
 )
 
 const (
@@ -44,6 +45,8 @@
 	// maxSilence is the silence after which an attempt is abandoned although its
 	// replicas seem alive. Callers abandon a silent stream after two seconds.
 	maxSilence = 1200 * time.Millisecond
+	// minTimerDelay is the minimum delay of a check that is overdue.
+	minTimerDelay = time.Millisecond
 	// queueWaitFactor limits the wait for a first event to a multiple of the head's
 	// mean time to a first event. A prompt that is queued there is processed sooner
 	// than if it were moved to another pipeline and started again.
@@ -56,23 +59,28 @@
 	stream   *stream
 	pipeline *hatchpath.Pipeline
 	cancel   context.CancelFunc
+	attempts *hatchretry.Attempts // copy of those before this attempt
 
 	mu           sync.Mutex
 	timer        *time.Timer
 	dataReceived bool          // some of the response body was received
-	lastProgress time.Time     // time of the last read of data, or of the start
+	lastProgress time.Time     // time of the last event with data, or of the start
+	silentSince  time.Time     // when the wait for the next event began
 	meanInterval time.Duration // moving average of the interval between events
 	checkDelay   time.Duration // silence until the next check
-	writing      bool          // events are being written to the caller, which may be slow
+	waiting      bool          // for the next event; false while events are written to the caller
+	writing      bool          // no read is in progress: events are being written to the caller, which may be slow
 	stopped      bool
 	culprits     []string // addresses at fault, set by abandon
 	reason       string   // why the attempt was abandoned, or empty
+	prepaid      bool     // the retry token of the next attempt is spent
 }
 
 // newWatch starts a watch of an attempt at the pipeline. The watch calls cancel to
 // abandon the attempt.
 func (stream *stream) newWatch(pipeline *hatchpath.Pipeline, cancel context.CancelFunc) *watch {
-	watch := &watch{stream: stream, pipeline: pipeline, cancel: cancel, lastProgress: time.Now(), checkDelay: firstCheckDelay}
+	now := time.Now()
+	watch := &watch{stream: stream, pipeline: pipeline, cancel: cancel, attempts: stream.attempts.Clone(), lastProgress: now, silentSince: now, checkDelay: firstCheckDelay}
 	watch.mu.Lock() // the timer may fire before watch.timer is set
 	watch.timer = time.AfterFunc(watch.checkDelay, watch.check)
 	watch.mu.Unlock()
@@ -91,31 +99,38 @@
 func (watch *watch) handleUnreachable(node *hatchpath.Node) {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	if watch.stopped || watch.writing || time.Since(watch.lastProgress) < minUnreachableSilence {
+	if watch.stopped || watch.writing || time.Since(watch.silentSince) < minUnreachableSilence {
 		return
 	}
 	watch.abandon("no connection to a stage", []string{node.Address})
 }
 
-// startWaiting starts the check timer before a read of the next event.
+// startWaiting starts the check timer before a read. Bytes that complete no event do
+// not postpone the check.
 func (watch *watch) startWaiting() {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
+	now := time.Now()
+	if !watch.waiting {
+		watch.waiting, watch.silentSince = true, now
+	}
 	watch.writing = false
-	watch.timer.Reset(watch.checkDelay)
+	watch.timer.Reset(max(watch.checkDelay-now.Sub(watch.silentSince), minTimerDelay))
 }
 
-// recordRead stops the check timer after a read. If the read returned data, it
-// updates the mean interval and the delay of the next check.
-func (watch *watch) recordRead(received bool) {
+// recordRead stops the check timer after a read. If the read completed an event with
+// data, it updates the mean interval and the delay of the next check.
+func (watch *watch) recordRead(progress bool) {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	watch.timer.Stop()
 	watch.writing = true
-	if !received {
+	if !progress {
 		return
 	}
 	now := time.Now()
+	watch.waiting = false
+	watch.recordStageProgress(now)
 	if !watch.dataReceived {
 		watch.dataReceived = true
 		watch.pipeline.Nodes[0].RecordFirstEvent(now, now.Sub(watch.lastProgress))
@@ -131,8 +146,7 @@
 }
 
 // recordStageProgress records progress of all stages of the pipeline.
-func (watch *watch) recordStageProgress() {
-	now := time.Now()
+func (watch *watch) recordStageProgress(now time.Time) {
 	for _, node := range watch.pipeline.Nodes {
 		node.RecordProgress(now)
 	}
@@ -147,19 +161,20 @@
 	watch.timer.Stop()
 }
 
-// result returns the addresses at fault and the reason if the watch has abandoned
-// the attempt, and otherwise an empty reason.
-func (watch *watch) result() (culprits []string, reason string) {
+// result returns the addresses at fault, the reason, and whether the retry token of
+// the next attempt is spent, if the watch has abandoned the attempt, and otherwise an
+// empty reason.
+func (watch *watch) result() (culprits []string, reason string, prepaid bool) {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	return watch.culprits, watch.reason
+	return watch.culprits, watch.reason, watch.prepaid
 }
 
 // check probes the replicas of a silent stream. It abandons the attempt if one is
-// dead or the stream has been silent for too long.
+// dead, or if the stream has been silent for too long and can be moved elsewhere.
 func (watch *watch) check() {
 	watch.mu.Lock()
-	lastProgress := watch.lastProgress
+	lastProgress, silentSince, silenceLimit := watch.lastProgress, watch.silentSince, watch.silenceLimit()
 	inactive := watch.writing || watch.stopped
 	watch.mu.Unlock()
 	if inactive {
@@ -167,16 +182,18 @@
 	}
 	watch.stream.forwarder.metricSet.stalls.Inc(1)
 	culprits := watch.stream.forwarder.prober.check(watch.stream.ctx, watch.pipeline.Nodes, nil)
+	silent := time.Since(silentSince)
+	prepaid := len(culprits) == 0 && silent > silenceLimit && watch.prepareMove()
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	if watch.stopped || watch.lastProgress != lastProgress {
 		return
 	}
-	silent := time.Since(lastProgress)
 	switch {
 	case len(culprits) > 0:
 		watch.abandon("no connection to a stage", culprits)
-	case silent > watch.silenceLimit():
+	case prepaid:
+		watch.prepaid = true
 		watch.abandon("silent for "+silent.Round(time.Millisecond).String(), nil)
 	case !watch.writing:
 		watch.timer.Reset(repeatCheckDelay)
@@ -186,6 +203,26 @@
 	}
 }
 
+// prepareMove reports whether the silent stream can be moved off its pipeline although
+// the replicas are alive: there must be another pipeline and a retry token, which
+// prepareMove spends. Otherwise the stream is better off where it is, since it may only
+// be slow.
+func (watch *watch) prepareMove() bool {
+	stream, head := watch.stream, watch.pipeline.Nodes[0].Address
+	if !stream.route.Repeatable() {
+		return false
+	}
+	attempts, view := watch.attempts.Clone(), stream.forwarder.fleet.View()
+	attempts.RecordRun(head)
+	attempts.Exclude(head)
+	if stream.service.Model == nil {
+		_, err := view.Service(time.Now(), stream.query(attempts))
+		return err == nil && stream.call.Spend()
+	}
+	other, err := stream.chooseEnginePipeline(view, attempts, true)
+	return err == nil && other.Nodes[0].Address != head && stream.call.Spend()
+}
+
 // silenceLimit returns how long the stream may be silent while its replicas are
 // alive.
 func (watch *watch) silenceLimit() time.Duration {
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -213,7 +213,7 @@
 	}
 	list := gateway.replicas.list()
 	gateway.view.Store(hatchpath.NewView(list, services, gateway.healths))
-	gateway.healths.Retain(list)
+	gateway.healths.Retain(start, list)
 }
 
 // replicaFollower applies the registrations of replicas.
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -62,6 +62,10 @@
 	membersDiffer   bool      // the peer called last had a different member digest
 }
 
+// bodyMemoryFraction is the part of the machine's memory, as its inverse, for large
+// bodies of requests and responses. Their buffers may be twice as large.
+const bodyMemoryFraction = 8
+
 // snapshot is an encoded value and its version.
 type snapshot struct {
 	version uint64
@@ -124,6 +128,7 @@
 		hatchforward.WithSite(settings.Site),
 		hatchforward.WithMetrics(registry),
 		hatchforward.WithEngineReports(gateway.engines),
+		hatchforward.WithBodyMemory(int64(settings.MemoryMB)<<20/bodyMemoryFraction),
 		hatchforward.WithRetryLimits(hatchretry.SharedLimits{
 			Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow,
 		}))
@@ -152,6 +157,13 @@
 	return max(int(gateway.daemonCount.Load()), 1)
 }
 
+// ReportLeaving logs that a replica stated that it is leaving and reports it to
+// peers.
+func (gateway *Gateway) ReportLeaving(replica dragonflyhatch.Replica) {
+	gateway.logger.Info("replica leaving", "replica", replica.ID, "address", replica.Address, "service", replica.Service, "source", "response")
+	gateway.requestPush()
+}
+
 // ReportUnreachable logs that a replica was found unreachable and reports it to peers.
 func (gateway *Gateway) ReportUnreachable(replica dragonflyhatch.Replica) {
 	gateway.logger.Warn("replica unreachable", "replica", replica.ID, "address", replica.Address, "service", replica.Service)
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -21,6 +21,8 @@
 	gossipTimeout = 300 * time.Millisecond
 	// maxUnreachableSent bounds the unreachable replicas in one gossip message.
 	maxUnreachableSent = 32
+	// maxLeavingSent bounds the leaving replicas in one gossip message.
+	maxLeavingSent = 32
 	// largeSnapshotPause is the pause after a daemon has fetched a large replica
 	// snapshot, so that further changes are fetched together. It is far below the
 	// time within which a drain must take effect.
@@ -130,6 +132,7 @@
 	}
 	gossip.ReplicaUpdates, gossip.ReplicaUpdatesFrom = gateway.replicas.recentUpdates(now)
 	gossip.LostReplicas = gateway.View().UnreachableAddresses(now, maxUnreachableSent)
+	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
 	return gossip
 }
 
@@ -169,7 +172,11 @@
 	}
 	gateway.mu.Unlock()
 
-	if updated {
+	leavingFound := false
+	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
+		leavingFound = gateway.healths.GetProcess(process).MarkLeaving(now) || leavingFound
+	}
+	if updated || leavingFound {
 		gateway.requestPush()
 	}
 	for _, member := range toCall {
--- a/hatchgateway/placer.go
+++ b/hatchgateway/placer.go
@@ -129,7 +129,8 @@
 		if replica.Service != service.Name || replica.Leaving {
 			continue
 		}
-		if placer.gateway.isUnreachable(replica.Address, placer.gateway.healths.Get(replica), now) {
+		health := placer.gateway.healths.Get(replica)
+		if health.IsLeaving() || placer.gateway.isUnreachable(replica.Address, health, now) {
 			continue
 		}
 		engine := hatchorder.PlacedEngine{Replica: replica, Layers: replica.Held.LayerRange}
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -38,6 +38,8 @@
 	tokens            atomic.Int64 // of the requests in flight
 	downUntil         atomic.Int64 // excluded until then, as unreachable or because its registration is out of date
 	fullUntil         atomic.Int64 // excluded for lack of capacity until then
+	pausedUntil       atomic.Int64 // wants no request until then, as it stated when it refused one
+	leavingSince      atomic.Int64 // when it first stated that it is leaving, or 0
 	lastSeen          atomic.Int64 // last time the replica showed that it is alive
 	downSince         atomic.Int64 // 0 unless the replica is unreachable
 	nextProbe         atomic.Int64 // earliest time of the next probe
@@ -270,50 +272,78 @@
 	return health.fullUntil.Load() > monotonicNanos(now)
 }
 
+// Pause records that the replica refused a request and wants no other for the
+// duration.
+func (health *Health) Pause(now time.Time, duration time.Duration) {
+	extendExclusion(&health.pausedUntil, now, duration)
+}
+
+// PausedFor returns for how long the replica still wants no request, or 0.
+func (health *Health) PausedFor(now time.Time) time.Duration {
+	return max(time.Duration(health.pausedUntil.Load()-monotonicNanos(now)), 0)
+}
+
+// MarkLeaving records that the replica stated that it is leaving. It is not sent any
+// request from then on: a process that leaves does not come back. MarkLeaving reports
+// whether this was not known before.
+func (health *Health) MarkLeaving(now time.Time) bool {
+	return health.leavingSince.CompareAndSwap(0, max(monotonicNanos(now), 1))
+}
+
+// IsLeaving reports whether the replica has stated that it is leaving.
+func (health *Health) IsLeaving() bool {
+	return health.leavingSince.Load() != 0
+}
+
+// leavingRetention is how long it is remembered that a process which is no longer
+// registered was leaving. Its registration may come back, for example after an outage
+// of the store, but not for longer than a process takes to end.
+const leavingRetention = 10 * time.Minute
+
 // HealthSet holds the Health of each process of each replica. It is safe for
 // concurrent use.
 type HealthSet struct {
 	mu        sync.Mutex
-	byProcess map[processKey]*Health
-}
-
-// processKey identifies one process of a replica.
-type processKey struct {
-	id      string
-	address string
-	started int64
+	byProcess map[dragonflyhatch.ReplicaProcess]*Health
 }
 
 // NewHealthSet returns an empty set.
 func NewHealthSet() *HealthSet {
-	return &HealthSet{byProcess: make(map[processKey]*Health)}
+	return &HealthSet{byProcess: make(map[dragonflyhatch.ReplicaProcess]*Health)}
 }
 
 // Get returns the Health of the replica's process, which it creates at the first
 // call.
 func (healths *HealthSet) Get(replica dragonflyhatch.Replica) *Health {
+	return healths.GetProcess(replica.Process())
+}
+
+// GetProcess returns the Health of the process, which it creates at the first call.
+func (healths *HealthSet) GetProcess(process dragonflyhatch.ReplicaProcess) *Health {
 	healths.mu.Lock()
 	defer healths.mu.Unlock()
-	key := processKey{replica.ID, replica.Address, replica.Started}
-	health, ok := healths.byProcess[key]
+	health, ok := healths.byProcess[process]
 	if !ok {
 		health = new(Health)
-		healths.byProcess[key] = health
+		healths.byProcess[process] = health
 	}
 	return health
 }
 
-// Retain removes all processes except those of the given replicas.
-func (healths *HealthSet) Retain(replicas []dragonflyhatch.Replica) {
-	keep := make(map[processKey]bool, len(replicas))
+// Retain removes all processes except those of the given replicas and those that
+// stated less than leavingRetention ago that they are leaving.
+func (healths *HealthSet) Retain(now time.Time, replicas []dragonflyhatch.Replica) {
+	keep := make(map[dragonflyhatch.ReplicaProcess]bool, len(replicas))
 	for _, replica := range replicas {
-		keep[processKey{replica.ID, replica.Address, replica.Started}] = true
+		keep[replica.Process()] = true
 	}
+	forgetLeaving := monotonicNanos(now.Add(-leavingRetention))
 	healths.mu.Lock()
 	defer healths.mu.Unlock()
-	for key := range healths.byProcess {
-		if !keep[key] {
-			delete(healths.byProcess, key)
+	for process, health := range healths.byProcess {
+		since := health.leavingSince.Load()
+		if !keep[process] && (since == 0 || since < forgetLeaving) {
+			delete(healths.byProcess, process)
 		}
 	}
 }
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -22,8 +22,8 @@
 }
 
 // allowsHead reports whether the node may run the first stage.
-func (query *Query) allowsHead(node *Node) bool {
-	return len(query.AllowedHeads) == 0 || slices.Contains(query.AllowedHeads, node.Address)
+func (query *Query) allowsHead(now time.Time, node *Node) bool {
+	return node.PausedFor(now) == 0 && (len(query.AllowedHeads) == 0 || slices.Contains(query.AllowedHeads, node.Address))
 }
 
 // Pipeline is a chosen pipeline: stages that cover the layers once and in order.
@@ -91,7 +91,8 @@
 
 // Pipeline returns a pipeline for the request, or a Failure of
 // KindUpstreamUnavailable. Engines that have recently refused a request for lack of
-// capacity are used only if no pipeline is possible without them.
+// capacity are used only if no pipeline is possible without them, and those that want
+// no request then only for later stages, whose requests come from the head.
 func (view *View) Pipeline(now time.Time, query Query) (*Pipeline, error) {
 	set := view.engines[query.Service]
 	if set == nil {
@@ -99,13 +100,30 @@
 	}
 	for _, avoidFull := range []bool{true, false} {
 		usable := func(node *Node) bool {
-			return !node.IsDown(now) && !(avoidFull && node.IsFull(now)) && !slices.Contains(query.Exclude, node.Address)
+			return !node.IsDown(now) && !node.IsLeaving() && !(avoidFull && (node.IsFull(now) || node.PausedFor(now) > 0)) &&
+				!slices.Contains(query.Exclude, node.Address)
 		}
 		if pipeline := set.choosePipeline(now, query, usable); pipeline != nil {
 			return pipeline, nil
 		}
 	}
-	return nil, dragonflyhatch.Failf(dragonflyhatch.KindUpstreamUnavailable, "no usable engines of %s cover all layers", query.Service)
+	return nil, &dragonflyhatch.Failure{
+		Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: "no usable engines of " + query.Service + " cover all layers",
+		RetryAfter: shortestPause(now, set.all),
+	}
+}
+
+// shortestPause returns the time until the first of the nodes that refuse requests
+// for a while takes them again, or 0 if there is none.
+func shortestPause(now time.Time, nodes []*Node) time.Duration {
+	var shortest time.Duration
+	for _, node := range nodes {
+		pause := node.PausedFor(now)
+		if pause > 0 && (shortest == 0 || pause < shortest) && !node.IsDown(now) && !node.IsLeaving() {
+			shortest = pause
+		}
+	}
+	return shortest
 }
 
 // choosePipeline returns a pipeline of the newest version for which there is one, or
@@ -222,7 +240,7 @@
 			continue
 		}
 		for i := range spans {
-			if at == 0 && !query.allowsHead(spans[i].node) {
+			if at == 0 && !query.allowsHead(now, spans[i].node) {
 				continue
 			}
 			set.extend(steps, boundary, at, &spans[i])
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -105,6 +105,20 @@
 	return addresses
 }
 
+// LeavingProcesses returns the registered processes that stated in a response that
+// they are leaving, at most limit of them.
+func (view *View) LeavingProcesses(limit int) []dragonflyhatch.ReplicaProcess {
+	var processes []dragonflyhatch.ReplicaProcess
+	for _, name := range slices.Sorted(maps.Keys(view.byService)) {
+		for _, node := range view.byService[name] {
+			if node.IsLeaving() && len(processes) < limit {
+				processes = append(processes, node.Process())
+			}
+		}
+	}
+	return processes
+}
+
 // NodeAt returns the node with the address, or nil if there is none or it is leaving.
 func (view *View) NodeAt(address string) *Node {
 	return view.byAddress[address]
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -150,6 +150,9 @@
 	for _, member := range gossip.Members {
 		message.Members = append(message.Members, encodeMember(member))
 	}
+	for _, process := range gossip.LeavingReplicas {
+		message.LeavingReplicas = append(message.LeavingReplicas, &ReplicaProcess{Id: process.ID, Address: process.Address, Started: process.Started})
+	}
 	if len(gossip.ReplicaUpdates) > 0 {
 		changes, err := json.Marshal(gossip.ReplicaUpdates)
 		if err == nil { // err is nil for plain structs; without changes the peer would fetch a snapshot
@@ -173,6 +176,9 @@
 	for _, member := range message.GetMembers() {
 		gossip.Members = append(gossip.Members, decodeMember(member))
 	}
+	for _, process := range message.GetLeavingReplicas() {
+		gossip.LeavingReplicas = append(gossip.LeavingReplicas, dragonflyhatch.ReplicaProcess{ID: process.GetId(), Address: process.GetAddress(), Started: process.GetStarted()})
+	}
 	if changes := message.GetReplicaNews(); len(changes) > 0 && json.Unmarshal(changes, &gossip.ReplicaUpdates) == nil {
 		gossip.ReplicaUpdatesFrom = message.GetReplicaNewsFrom()
 	}
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -96,11 +96,31 @@
 	return live
 }
 
+// Clone returns an independent copy.
+func (attempts *Attempts) Clone() *Attempts {
+	clone := *attempts
+	clone.excluded, clone.replicasRun = slices.Clone(attempts.excluded), slices.Clone(attempts.replicasRun)
+	return &clone
+}
+
+// RecordRun records that the request may have run on the replica and failed there.
+func (attempts *Attempts) RecordRun(replica string) {
+	attempts.mayHaveRun, attempts.lastFailedReplica = true, replica
+	if !slices.Contains(attempts.replicasRun, replica) {
+		attempts.replicasRun = append(attempts.replicasRun, replica)
+	}
+}
+
 // LastFailedReplica returns the replica passed to the last call of HandleReplicaFailure.
 func (attempts *Attempts) LastFailedReplica() string {
 	return attempts.lastFailedReplica
 }
 
+// Exclude adds addresses that should not be tried again while others are available.
+func (attempts *Attempts) Exclude(addresses ...string) {
+	attempts.excluded = append(attempts.excluded, addresses...)
+}
+
 // ClearExcluded empties the list of excluded addresses.
 func (attempts *Attempts) ClearExcluded() {
 	attempts.excluded = nil
@@ -131,10 +151,7 @@
 func (attempts *Attempts) HandleReplicaFailure(now time.Time, failure *dragonflyhatch.Failure, replica string, culprits []string, budget Spender) error {
 	attempts.lastFailedReplica = replica
 	if failure.Kind.ErrorResponse().Ran == dragonflyhatch.RanUnknown {
-		attempts.mayHaveRun = true
-		if !slices.Contains(attempts.replicasRun, replica) {
-			attempts.replicasRun = append(attempts.replicasRun, replica)
-		}
+		attempts.RecordRun(replica)
 	}
 	return attempts.retryOrEnd(now, failure, culprits, budget)
 }
@@ -143,7 +160,7 @@
 // for the caller.
 func (attempts *Attempts) retryOrEnd(now time.Time, failure *dragonflyhatch.Failure, culprits []string, budget Spender) error {
 	attempts.count++
-	attempts.excluded = append(attempts.excluded, culprits...)
+	attempts.Exclude(culprits...)
 	switch {
 	case !now.Before(attempts.deadline):
 		return attempts.FinalFailure(deadlineFailure(failure))
