--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -297,7 +297,7 @@
 	if gateway.encodedReplicas.value != nil {
 		return gateway.encodedReplicas.value
 	}
-	text, err := json.Marshal(gateway.replicas.list())
+	text, err := json.Marshal(gateway.replicas.snapshot(time.Now()))
 	if err != nil { // cannot happen for plain structs
 		gateway.logger.Error("encoding replicas failed", "error", err)
 	}
@@ -307,8 +307,8 @@
 
 // applyReplicaSnapshot applies a peer's snapshot of the replicas if it is newer.
 func (gateway *Gateway) applyReplicaSnapshot(version uint64, value []byte, source string) {
-	var list []dragonflyhatch.Replica
-	if err := json.Unmarshal(value, &list); err != nil {
+	var listed []listedReplica
+	if err := json.Unmarshal(value, &listed); err != nil {
 		gateway.logger.Error("decoding replica snapshot failed", "source", source, "error", err)
 		return
 	}
@@ -318,7 +318,7 @@
 		return
 	}
 	gateway.logger.Info("replica snapshot applied", "source", source, "version", version, "before", gateway.replicas.version)
-	gateway.replicas.replace(list, version, time.Now())
+	gateway.replicas.applySnapshot(listed, version, time.Now())
 	gateway.replicas.version = max(gateway.replicas.version, version)
 	gateway.requestRebuild()
 	gateway.requestPush()
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -157,6 +157,13 @@
 	return max(int(gateway.daemonCount.Load()), 1)
 }
 
+// replicasSettled reports whether the known replicas are all that are live.
+func (gateway *Gateway) replicasSettled(now time.Time) bool {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return gateway.replicas.isSettled(now)
+}
+
 // ReportLeaving logs that a replica stated that it is leaving and reports it to
 // peers.
 func (gateway *Gateway) ReportLeaving(replica dragonflyhatch.Replica) {
--- a/hatchgateway/placer.go
+++ b/hatchgateway/placer.go
@@ -39,13 +39,19 @@
 // only the commands in progress; the layers that engines hold are known from their
 // registrations.
 type placer struct {
-	gateway          *Gateway
-	engineCount      int                      // at the last check
-	engineCountSince time.Time                // when it last changed
-	firstSeen        time.Time                // when the first engine was seen
-	commands         map[string]*layerCommand // by replica
-	results          chan commandResult
-	callSlots        chan struct{} // holds an item for each call in progress
+	gateway   *Gateway
+	settling  map[string]*settling     // by service
+	commands  map[string]*layerCommand // by replica
+	results   chan commandResult
+	callSlots chan struct{} // holds an item for each call in progress
+}
+
+// settling tracks the number of a service's engines until layers are placed for the
+// first time.
+type settling struct {
+	engineCount      int       // at the last check
+	engineCountSince time.Time // when it last changed
+	firstSeen        time.Time // when the first engine was seen
 }
 
 // layerCommand is an instruction to one process of an engine to hold a range of
@@ -66,14 +72,19 @@
 	err         error
 }
 
-// runPlacement runs the placer until ctx is done.
-func (gateway *Gateway) runPlacement(ctx context.Context) {
-	placer := &placer{
+func newPlacer(gateway *Gateway) *placer {
+	return &placer{
 		gateway:   gateway,
+		settling:  make(map[string]*settling),
 		commands:  make(map[string]*layerCommand),
 		results:   make(chan commandResult, 256),
 		callSlots: make(chan struct{}, maxConcurrentCalls),
 	}
+}
+
+// runPlacement runs the placer until ctx is done.
+func (gateway *Gateway) runPlacement(ctx context.Context) {
+	placer := newPlacer(gateway)
 	ticker := time.NewTicker(placementInterval)
 	defer ticker.Stop()
 	for {
@@ -106,7 +117,7 @@
 // placeService plans the service's layers and sends the resulting commands.
 func (placer *placer) placeService(ctx context.Context, now time.Time, service dragonflyhatch.UpstreamService) {
 	engines := placer.engines(now, service)
-	if !placer.isSettled(now, engines) {
+	if !placer.isSettled(now, service.Name, engines) {
 		return
 	}
 	for _, placement := range hatchorder.PlanLayers(service.Model, engines) {
@@ -157,22 +168,26 @@
 	}
 }
 
-// isSettled reports whether layers may be placed: immediately if an engine holds
-// layers already, otherwise once registrations have settled.
-func (placer *placer) isSettled(now time.Time, engines []hatchorder.PlacedEngine) bool {
+// isSettled reports whether layers of the service may be placed. If an engine holds
+// layers already, that is once all live engines have had the time to register again:
+// layers that only seem lost would be placed on engines that serve. Otherwise it is once
+// the number of engines has been stable for a while.
+func (placer *placer) isSettled(now time.Time, service string, engines []hatchorder.PlacedEngine) bool {
 	if len(engines) == 0 {
 		return false
 	}
-	if placer.firstSeen.IsZero() {
-		placer.firstSeen = now
+	state := placer.settling[service]
+	if state == nil {
+		state = &settling{firstSeen: now}
+		placer.settling[service] = state
 	}
-	if len(engines) != placer.engineCount {
-		placer.engineCount, placer.engineCountSince = len(engines), now
+	if len(engines) != state.engineCount {
+		state.engineCount, state.engineCountSince = len(engines), now
 	}
 	if slices.ContainsFunc(engines, func(engine hatchorder.PlacedEngine) bool { return engine.Layers.End > 0 }) {
-		return true
+		return placer.gateway.replicasSettled(now)
 	}
-	return now.Sub(placer.engineCountSince) >= settleTime || now.Sub(placer.firstSeen) >= maxSettleTime
+	return now.Sub(state.engineCountSince) >= settleTime || now.Sub(state.firstSeen) >= maxSettleTime
 }
 
 // sendCommand asks the engine what it holds and, unless it holds the layers already
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -16,8 +16,9 @@
 // replicaSet holds the registrations that a daemon knows. It has no clock of its
 // own: methods that depend on the time have it as a parameter.
 type replicaSet struct {
-	version         uint64 // of the newest change
-	completeVersion uint64 // store version up to which all changes are known
+	version         uint64    // of the newest change
+	completeVersion uint64    // store version up to which all changes are known
+	knownSince      time.Time // when the first listing or snapshot was applied
 	byID            map[string]dragonflyhatch.Replica
 	expireAt        map[string]time.Time // by id, of replicas missing from the store
 	graceUntil      time.Time            // until then removals are deferred, as the replicas may be live
@@ -150,12 +151,61 @@
 	set.completeVersion = max(set.completeVersion, version, set.version)
 }
 
+// listedReplica is a replica in a snapshot for peers.
+type listedReplica struct {
+	dragonflyhatch.Replica
+	Expiry time.Duration `json:"expiry,omitempty"` // nanoseconds until it expires unless it registers again, or 0
+}
+
+// snapshot returns the replicas for peers, ordered by id, with the time that is left
+// to those which are missing from the store.
+func (set *replicaSet) snapshot(now time.Time) []listedReplica {
+	var listed []listedReplica
+	for _, replica := range set.list() {
+		entry := listedReplica{Replica: replica}
+		if expiry, ok := set.expireAt[replica.ID]; ok {
+			entry.Expiry = max(expiry.Sub(now), 1)
+		}
+		listed = append(listed, entry)
+	}
+	return listed
+}
+
+// applySnapshot applies a peer's snapshot as of the version like replace. A replica
+// that is missing from the store expires here when it expires at the peer.
+func (set *replicaSet) applySnapshot(listed []listedReplica, version uint64, now time.Time) bool {
+	if version < set.completeVersion {
+		return set.expire(now)
+	}
+	var list []dragonflyhatch.Replica
+	for _, entry := range listed {
+		list = append(list, entry.Replica)
+	}
+	updated := set.replace(list, version, now)
+	for _, entry := range listed {
+		if known := set.byID[entry.ID]; entry.Expiry > 0 && known.Revision == entry.Revision {
+			set.expireAt[entry.ID] = now.Add(min(entry.Expiry, reregistrationGrace))
+		}
+	}
+	return updated
+}
+
+// isSettled reports whether all live replicas have had the time to register again
+// since this process first learned of any. The store may have been restored just
+// before, and then lists only some of them.
+func (set *replicaSet) isSettled(now time.Time) bool {
+	return !set.knownSince.IsZero() && now.Sub(set.knownSince) >= reregistrationGrace
+}
+
 // replace applies a complete listing as of the version and reports whether it
 // changed the set. A listing older than completeVersion is not applied.
 func (set *replicaSet) replace(list []dragonflyhatch.Replica, version uint64, now time.Time) bool {
 	if version < set.completeVersion {
 		return set.expire(now)
 	}
+	if set.knownSince.IsZero() {
+		set.knownSince = now
+	}
 	updated := false
 	listed := make(map[string]bool, len(list))
 	for _, replica := range list {
--- a/hatchgateway/replicas_test.go
+++ b/hatchgateway/replicas_test.go
@@ -53,6 +53,37 @@
 	})
 }
 
+func TestSnapshotsOfReplicas(t *testing.T) {
+	now := time.Now()
+	convey.Convey("Given a daemon that keeps a registration which is missing after an outage of the store", t, func() {
+		origin, receiver := newReplicaSet(), newReplicaSet()
+		origin.replace([]dragonflyhatch.Replica{newTestReplica("a", 5, false), newTestReplica("b", 6, false)}, 6, now)
+		origin.startGrace(now)
+		origin.replace([]dragonflyhatch.Replica{newTestReplica("b", 6, false)}, 20, now)
+		convey.Convey("A peer that restarted drops it at the same time, unless it registers again", func() {
+			receiver.applySnapshot(origin.snapshot(now.Add(time.Second)), 20, now.Add(time.Second))
+			convey.So(ids(&receiver), convey.ShouldResemble, []string{"a", "b"})
+			other := newReplicaSet()
+			other.applySnapshot(origin.snapshot(now.Add(time.Second)), 20, now.Add(time.Second))
+			other.put(newTestReplica("a", 21, false))
+			convey.So(other.expire(now.Add(reregistrationGrace)), convey.ShouldBeFalse)
+			convey.So(receiver.expire(now.Add(reregistrationGrace)), convey.ShouldBeTrue)
+			convey.So(ids(&receiver), convey.ShouldResemble, []string{"b"})
+		})
+		convey.Convey("A peer that knows a newer registration of it keeps it", func() {
+			receiver.put(newTestReplica("a", 19, false))
+			receiver.applySnapshot(origin.snapshot(now), 20, now)
+			convey.So(receiver.expire(now.Add(reregistrationGrace)), convey.ShouldBeFalse)
+			convey.So(ids(&receiver), convey.ShouldResemble, []string{"a", "b"})
+		})
+		convey.Convey("An older snapshot brings nothing back", func() {
+			receiver.replace([]dragonflyhatch.Replica{newTestReplica("b", 6, false)}, 30, now)
+			receiver.applySnapshot(origin.snapshot(now), 20, now)
+			convey.So(ids(&receiver), convey.ShouldResemble, []string{"b"})
+		})
+	})
+}
+
 func TestUnreachableReports(t *testing.T) {
 	now := time.Now()
 	convey.Convey("One daemon's report does not suffice in a large fleet, and old reports do not count", t, func() {
