--- a/fleet.go
+++ b/fleet.go
@@ -1,5 +1,7 @@
 package dragonflyhatch
 
+import "time"
+
 // Member describes a daemon of package hatchgateway. Each daemon publishes its
 // own description.
 type Member struct {
@@ -22,6 +24,7 @@
 	MembersDigest      uint64           // of all members that the sender knows; equal digests mean equal members
 	Suspects           []string         // hosts that do not answer the sender
 	LostReplicas       []string         // addresses that do not answer the sender
+	HeadLatencies      []HeadLatency    // of engines, as observed lately by any daemon
 	LeavingReplicas    []ReplicaProcess // processes that stated in a response that they are leaving
 	RoutingVersion     uint64
 	ReplicasVersion    uint64
@@ -31,6 +34,13 @@
 	Term               uint64          // term of the leader
 }
 
+// HeadLatency is the time to the first event of streams that an engine heads.
+type HeadLatency struct {
+	Address string
+	Latency time.Duration
+	Age     time.Duration // since it was observed
+}
+
 // ReplicaProcess identifies one process of a replica.
 type ReplicaProcess struct {
 	ID      string
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -56,8 +56,9 @@
 	engines      dragonflyhatch.EngineControl // for slowdown reports; nil if none are requested
 	memory       *bodyMemory
 
-	mu      sync.Mutex
-	budgets map[string]*serviceBudget // by service
+	mu          sync.Mutex
+	budgets     map[string]*serviceBudget // by service
+	longestLeft map[string]time.Duration  // longest time left of a new request, by route
 }
 
 // Option configures a forwarder.
@@ -104,6 +105,7 @@
 		logger:       slog.Default(),
 		random:       hatchpath.NewSharedRandom(),
 		budgets:      make(map[string]*serviceBudget),
+		longestLeft:  make(map[string]time.Duration),
 		pipelineWait: defaultPipelineWait,
 		memory:       newBodyMemory(defaultBodyMemory),
 	}
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -259,6 +259,7 @@
 	routing.Routes[1].MaxReplicas = 1
 	routing.Routes[2].Resumable = true
 	routing.Routes[2].Timeout = 5 * time.Second
+	routing.Routes[2].Target = 2 * time.Second // engines whose first events take longer get fewer streams
 	return routing
 }
 
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -64,6 +64,10 @@
 			return
 		}
 		stream.chosenAddress = pipeline.Nodes[0].Address
+		if err := stream.checkAdmission(pipeline.Nodes[0]); err != nil {
+			stream.refuse(err)
+			return
+		}
 		failure, culprits := stream.runAttempt(pipeline)
 		stream.logger.Debug("stream attempt ended", "stages", pipeline.Stages, "resumed", stream.headersSent, "failure", failure)
 		if failure == nil {
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -73,6 +73,7 @@
 	stopped      bool
 	culprits     []string // addresses at fault, set by abandon
 	reason       string   // why the attempt was abandoned, or empty
+	firstEvent   func()   // records that the stream no longer waits for its first event
 	prepaid      bool     // the retry token of the next attempt is spent
 }
 
@@ -81,6 +82,7 @@
 func (stream *stream) newWatch(pipeline *hatchpath.Pipeline, cancel context.CancelFunc) *watch {
 	now := time.Now()
 	watch := &watch{stream: stream, pipeline: pipeline, cancel: cancel, attempts: stream.attempts.Clone(), lastProgress: now, silentSince: now, checkDelay: firstCheckDelay}
+	watch.firstEvent = pipeline.Nodes[0].AwaitFirstEvent(now)
 	watch.mu.Lock() // the timer may fire before watch.timer is set
 	watch.timer = time.AfterFunc(watch.checkDelay, watch.check)
 	watch.mu.Unlock()
@@ -133,6 +135,7 @@
 	watch.recordStageProgress(now)
 	if !watch.dataReceived {
 		watch.dataReceived = true
+		watch.firstEvent()
 		watch.pipeline.Nodes[0].RecordFirstEvent(now, now.Sub(watch.lastProgress))
 	} else {
 		interval, weight := now.Sub(watch.lastProgress), intervalWeight
@@ -159,6 +162,7 @@
 	defer watch.mu.Unlock()
 	watch.stopped = true
 	watch.timer.Stop()
+	watch.firstEvent()
 }
 
 // result returns the addresses at fault, the reason, and whether the retry token of
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -23,6 +23,8 @@
 	maxUnreachableSent = 32
 	// maxLeavingSent bounds the leaving replicas in one gossip message.
 	maxLeavingSent = 32
+	// maxHeadsSent bounds the latencies of engines in one gossip message.
+	maxHeadsSent = 16
 	// largeSnapshotPause is the pause after a daemon has fetched a large replica
 	// snapshot, so that further changes are fetched together. It is far below the
 	// time within which a drain must take effect.
@@ -132,6 +134,7 @@
 	}
 	gossip.ReplicaUpdates, gossip.ReplicaUpdatesFrom = gateway.replicas.recentUpdates(now)
 	gossip.LostReplicas = gateway.View().UnreachableAddresses(now, maxUnreachableSent)
+	gossip.HeadLatencies = gateway.View().HeadLatencies(now, maxHeadsSent)
 	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
 	return gossip
 }
@@ -172,6 +175,7 @@
 	}
 	gateway.mu.Unlock()
 
+	gateway.recordHeadLatencies(now, gossip.HeadLatencies)
 	leavingFound := false
 	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
 		leavingFound = gateway.healths.GetProcess(process).MarkLeaving(now) || leavingFound
@@ -193,6 +197,16 @@
 	}
 }
 
+// recordHeadLatencies records what a peer reports of engines.
+func (gateway *Gateway) recordHeadLatencies(now time.Time, heads []dragonflyhatch.HeadLatency) {
+	view := gateway.View()
+	for _, head := range heads[:min(len(heads), maxHeadsSent)] {
+		if node := view.NodeAt(head.Address); node != nil {
+			node.RecordPeersLatency(now.Add(-head.Age), head.Latency)
+		}
+	}
+}
+
 // isBehind reports whether the peer has a newer configuration or newer replicas.
 func (gateway *Gateway) isBehind(peer dragonflyhatch.Gossip) bool {
 	local := gateway.versions()
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	nextSlowdownQuery atomic.Int64 // earliest time of the next query of the slowdown
 	latency           average      // seconds
 	firstEventLatency atomic.Pointer[timedLatency]
+	peersLatency      atomic.Pointer[timedLatency] // time to the first event as reported by other daemons
+	awaited           awaitedStreams
 	failureRate       average // share of responses that are failures
 	load              atomic.Pointer[timedLoad]
 }
@@ -69,6 +72,10 @@
 // time after which callers abandon a silent stream.
 const firstEventMaxAge = 2 * time.Second
 
+// peersLatencyWeight is the weight of the newest report of other daemons in the moving
+// average: each of them is the observation of one daemon.
+const peersLatencyWeight = 0.4
+
 // RecordFirstEvent records the time to the first event of a stream that the engine
 // heads.
 func (health *Health) RecordFirstEvent(now time.Time, latency time.Duration) {
@@ -79,6 +86,34 @@
 	health.firstEventLatency.Store(&timedLatency{mean, now}) // one of two concurrent updates may be lost
 }
 
+// RecordPeersLatency records the time to the first event that another daemon reports
+// of streams that the engine heads. It is ignored unless it was observed at a later
+// time than the report before.
+func (health *Health) RecordPeersLatency(observed time.Time, latency time.Duration) {
+	previous := health.peersLatency.Load()
+	if previous != nil && !observed.After(previous.at) {
+		return
+	}
+	if previous != nil && observed.Sub(previous.at) <= firstEventMaxAge {
+		latency = previous.mean + time.Duration(peersLatencyWeight*float64(latency-previous.mean))
+	}
+	health.peersLatency.CompareAndSwap(previous, &timedLatency{latency, observed})
+}
+
+// LatestFirstEvent returns the latest known time to the first event of streams that the
+// engine heads, and when it was observed by this daemon or by another one. It returns
+// false if there is none from the last firstEventMaxAge.
+func (health *Health) LatestFirstEvent(now time.Time) (latency time.Duration, observed time.Time, ok bool) {
+	latest := health.firstEventLatency.Load()
+	if peers := health.peersLatency.Load(); peers != nil && (latest == nil || peers.at.After(latest.at)) {
+		latest = peers
+	}
+	if latest == nil || now.Sub(latest.at) > firstEventMaxAge {
+		return 0, time.Time{}, false
+	}
+	return latest.mean, latest.at, true
+}
+
 // FirstEventLatency returns the mean time to the first event of recent streams that
 // the engine heads, or 0 if there were none.
 func (health *Health) FirstEventLatency(now time.Time) time.Duration {
@@ -89,6 +124,51 @@
 	return latest.mean
 }
 
+// awaitedStreams holds the start times of this daemon's streams that wait for their
+// first event.
+type awaitedStreams struct {
+	mu     sync.Mutex
+	starts []time.Time
+}
+
+// AwaitFirstEvent records that a stream was sent to the engine as its head. The
+// returned function records that it has received its first event or has ended.
+func (health *Health) AwaitFirstEvent(now time.Time) (done func()) {
+	awaited := &health.awaited
+	awaited.mu.Lock()
+	defer awaited.mu.Unlock()
+	awaited.starts = append(awaited.starts, now)
+	return sync.OnceFunc(func() {
+		awaited.mu.Lock()
+		defer awaited.mu.Unlock()
+		if index := slices.Index(awaited.starts, now); index >= 0 {
+			awaited.starts = slices.Delete(awaited.starts, index, index+1)
+		}
+	})
+}
+
+// meanAge returns the mean time that the streams have waited so far.
+func (awaited *awaitedStreams) meanAge(now time.Time) time.Duration {
+	awaited.mu.Lock()
+	defer awaited.mu.Unlock()
+	if len(awaited.starts) == 0 {
+		return 0
+	}
+	var total time.Duration
+	for _, start := range awaited.starts {
+		total += now.Sub(start)
+	}
+	return total / time.Duration(len(awaited.starts))
+}
+
+// ExpectedFirstEvent returns the estimated time to the first event of a stream that is
+// sent to the engine now: the latest known one, or the mean time that this daemon's
+// streams have waited there so far, if that is longer.
+func (health *Health) ExpectedFirstEvent(now time.Time) time.Duration {
+	latest, _, _ := health.LatestFirstEvent(now)
+	return max(latest, health.awaited.meanAge(now))
+}
+
 const (
 	// slowdownMaxAge is how long a reported slowdown is used.
 	slowdownMaxAge = 4 * time.Second
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -341,10 +341,10 @@
 	return float64(node.tokens.Load()) * float64(daemons) / kvCapacity
 }
 
-// loadCost returns the utilization of the pipeline, plus the weighted time that
-// recent streams of its head took to their first event.
+// loadCost returns the utilization of the pipeline, plus the weighted time that a
+// stream of its head is expected to take to its first event.
 func (set *engineSet) loadCost(now time.Time, cover *cover, daemons int) float64 {
-	return set.utilization(now, cover, daemons) + firstEventWeight*cover.stages[0].node.FirstEventLatency(now).Seconds()
+	return set.utilization(now, cover, daemons) + firstEventWeight*cover.stages[0].node.ExpectedFirstEvent(now).Seconds()
 }
 
 // utilization returns the highest KV memory utilization among the stages. It is
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -74,6 +74,11 @@
 	return attempts.maxRuns - attempts.runs
 }
 
+// Count returns the number of failed attempts.
+func (attempts *Attempts) Count() int {
+	return attempts.count
+}
+
 // Excluded returns the addresses that failed and should not be tried again while
 // others are available.
 func (attempts *Attempts) Excluded() []string {
