Daemons exchange gossip over rings; streams are admitted by the queue of their head

Each daemon sorted all members with two hashes a comparison some eleven times a second (Rank), hashed all of them with each message (Digest), and called random peers, so that each exchange opened a new connection. Each message carried all changes of the last two seconds. Change: rank, digest, suspects and pending members are kept up to date instead of computed; peers are the successors in four rings of the site and two of all daemons, with a random one now and then; messages carry only the changes that the peer is not known to have; a new configuration goes to all neighbours, other updates to three, and the leader hears at once only of unreachable replicas. First events tell of a queue only after it was waited in. Change: the load that a head reports with a first event (waiting, running) gives the wait of the next stream; daemons share it by gossip. New streams are refused at once, with a probability that rises with that wait, and a time to return; those that return take what new ones leave. Engines are filled to 65% instead of 69% of their memory: the small ones held less already because they hold whole layers.

--- a/fleet.go
+++ b/fleet.go
@@ -24,7 +24,7 @@
 	MembersDigest      uint64           // of all members that the sender knows; equal digests mean equal members
 	Suspects           []string         // hosts that do not answer the sender
 	LostReplicas       []string         // addresses that do not answer the sender
-	HeadLatencies      []HeadLatency    // of engines, as observed lately by any daemon
+	QueueWaits         []QueueWait      // of engines, as observed lately by any daemon
 	LeavingReplicas    []ReplicaProcess // processes that stated in a response that they are leaving
 	RoutingVersion     uint64
 	ReplicasVersion    uint64
@@ -34,10 +34,10 @@
 	Term               uint64          // term of the leader
 }
 
-// HeadLatency is the time to the first event of streams that an engine heads.
-type HeadLatency struct {
+// QueueWait is how long a stream is expected to wait in the queue of an engine.
+type QueueWait struct {
 	Address string
-	Latency time.Duration
+	Wait    time.Duration
 	Age     time.Duration // since it was observed
 }
 
--- a/hatchforward/admission.go
+++ b/hatchforward/admission.go
@@ -13,8 +13,11 @@
 // arrive and less than the shortest delay after which callers return.
 const returnedMargin = 400 * time.Millisecond
 
-// checkAdmission returns a refusal for some of the new streams if first events of the
-// head are expected to be late, and otherwise nil. Streams that have been admitted are
+// defaultRunTime is the mean time of a stream at its engines before any has ended.
+const defaultRunTime = 4 * time.Second
+
+// checkAdmission returns a refusal for some of the new streams if they are expected to
+// wait at the head, and otherwise nil. Streams that have been admitted are
 // not refused later.
 func (stream *stream) checkAdmission(head *hatchpath.Node) error {
 	if stream.service.Model == nil || stream.headersSent || stream.attempts.Count() > 0 || stream.resumeAfter != "" {
@@ -22,13 +25,13 @@
 	}
 	forwarder := stream.forwarder
 	returned := forwarder.hasReturned(stream.route.Name, stream.info.TimeLeft)
-	expected := head.ExpectedFirstEvent(time.Now())
-	if forwarder.random.Float64() >= hatchlimit.RefusalProbability(expected, stream.route.Target, returned) {
+	wait := head.ExpectedWait(time.Now())
+	if forwarder.random.Float64() >= hatchlimit.RefusalProbability(wait, stream.route.Target, returned) {
 		return nil
 	}
 	return &dragonflyhatch.Failure{
 		Kind:       dragonflyhatch.KindOverloaded,
-		Detail:     "first event expected after " + expected.Round(time.Millisecond).String(),
+		Detail:     "expected to wait " + wait.Round(time.Millisecond).String() + " at " + head.Address,
 		RetryAfter: hatchlimit.ReturnDelay(time.Until(stream.deadline), forwarder.random.Float64()),
 	}
 }
@@ -42,3 +45,32 @@
 	forwarder.longestLeft[route] = longest
 	return left > 0 && left < longest-returnedMargin
 }
+
+// recordQueue records how long further streams are expected to wait at the head, by the
+// load that it reports with the first event of a stream.
+func (stream *stream) recordQueue(head *hatchpath.Node, load *dragonflyhatch.ServiceLoad) {
+	if load != nil && stream.service.Model != nil {
+		head.RecordQueueWait(time.Now(), hatchlimit.QueueWait(load.Waiting, load.Running, stream.forwarder.meanRunTime(stream.service.Name)))
+	}
+}
+
+// runTimeWeight is the weight of the latest stream in the mean run time.
+const runTimeWeight = 0.05
+
+// meanRunTime returns the mean time that streams of the service have run.
+func (forwarder *Forwarder) meanRunTime(service string) time.Duration {
+	forwarder.mu.Lock()
+	defer forwarder.mu.Unlock()
+	if mean, ok := forwarder.runTimes[service]; ok {
+		return mean
+	}
+	return defaultRunTime
+}
+
+// recordRunTime records how long a stream of the service has run.
+func (forwarder *Forwarder) recordRunTime(service string, runTime time.Duration) {
+	mean := forwarder.meanRunTime(service)
+	forwarder.mu.Lock()
+	defer forwarder.mu.Unlock()
+	forwarder.runTimes[service] = mean + time.Duration(runTimeWeight*float64(runTime-mean))
+}
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -59,6 +59,7 @@
 	mu          sync.Mutex
 	budgets     map[string]*serviceBudget // by service
 	longestLeft map[string]time.Duration  // longest time left of a new request, by route
+	runTimes    map[string]time.Duration  // mean time of a stream from its first event to its end, by service
 }
 
 // Option configures a forwarder.
@@ -106,6 +107,7 @@
 		random:       hatchpath.NewSharedRandom(),
 		budgets:      make(map[string]*serviceBudget),
 		longestLeft:  make(map[string]time.Duration),
+		runTimes:     make(map[string]time.Duration),
 		pipelineWait: defaultPipelineWait,
 		memory:       newBodyMemory(defaultBodyMemory),
 	}
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -194,11 +194,16 @@
 	info := stream.forwarder.dialect.ParseResponse(response.StatusCode, response.Header)
 	head.MarkReachable(time.Now())
 	stream.observe(head, response.StatusCode, info)
+	stream.recordQueue(head, info.Load)
 	if response.StatusCode == http.StatusOK && isEventStream(response.Header) {
 		if !info.Sealed || info.ID != "" && info.ID != stream.info.ID {
 			return stream.diagnoseFailure(pipeline, watch, errors.New("the response has no seal or belongs to another request"))
 		}
+		started := time.Now()
 		err := stream.forwardEvents(replicaExchange, watch)
+		if err == nil {
+			stream.forwarder.recordRunTime(stream.service.Name, time.Since(started))
+		}
 		switch {
 		case errors.Is(err, errCallerDisconnected):
 			stream.recordOutcome(statusCallerDisconnected, err.Error())
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -160,8 +160,8 @@
 	gateway.requestRebuild()
 	if first {
 		close(gateway.tableLoaded)
-		return
 	}
+	gateway.pushToAll.Store(true)
 	gateway.requestPush()
 }
 
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -42,6 +42,8 @@
 	daemonCount atomic.Int32
 	stopping    atomic.Bool
 
+	pushToAll         atomic.Bool // the next push goes to all neighbours
+	pushToLeader      atomic.Bool // the next push goes to the leader too
 	fetchingSnapshots atomic.Bool // snapshots are being fetched from a peer
 	seeds             atomic.Pointer[[]string]
 	tableLoaded       chan struct{} // closed when the first table is in force
@@ -58,8 +60,9 @@
 	earliestRebuild  time.Time // the view is not rebuilt before this time
 	rebuildScheduled bool      // a timer will rebuild the view at that time
 
-	lastPeerContact time.Time // when gossip was last received from a peer
-	membersDiffer   bool      // the peer called last had a different member digest
+	peerVersions    map[string]uint64 // replicas version of peers at the last exchange, by address
+	lastPeerContact time.Time         // when gossip was last received from a peer
+	membersDiffer   bool              // the peer called last had a different member digest
 }
 
 // bodyMemoryFraction is the part of the machine's memory, as its inverse, for large
@@ -104,6 +107,8 @@
 		timeOfDay: time.Now,
 		replicas:  newReplicaSet(),
 		reports:   make(unreachableReports),
+
+		peerVersions: make(map[string]uint64),
 	}
 	for _, option := range options {
 		option(gateway)
@@ -173,6 +178,7 @@
 
 // ReportUnreachable logs that a replica was found unreachable and reports it to peers.
 func (gateway *Gateway) ReportUnreachable(replica dragonflyhatch.Replica) {
+	gateway.pushToLeader.Store(true)
 	gateway.logger.Warn("replica unreachable", "replica", replica.ID, "address", replica.Address, "service", replica.Service)
 	gateway.requestPush()
 }
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -8,11 +8,13 @@
 	"github.com/sourcegraph/conc"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchmember"
 )
 
 const (
 	// gossipInterval is the mean pause between two exchanges of a daemon. As each
-	// daemon calls a random peer, a dead daemon is called within about this time.
+	// daemon calls its neighbours in turn, and is called by as many, a dead daemon is
+	// called within about this time.
 	gossipInterval = 400 * time.Millisecond
 	// seedInterval is the pause between two calls to a seed that is not a known
 	// member. Its address may be out of date, so it is called less often than members.
@@ -23,8 +25,8 @@
 	maxUnreachableSent = 32
 	// maxLeavingSent bounds the leaving replicas in one gossip message.
 	maxLeavingSent = 32
-	// maxHeadsSent bounds the latencies of engines in one gossip message.
-	maxHeadsSent = 16
+	// maxWaitsSent bounds the waits of engines in one gossip message.
+	maxWaitsSent = 16
 	// largeSnapshotPause is the pause after a daemon has fetched a large replica
 	// snapshot, so that further changes are fetched together. It is far below the
 	// time within which a drain must take effect.
@@ -34,20 +36,24 @@
 	snapshotDelay = 250 * time.Millisecond
 )
 
-// runGossip periodically exchanges gossip with a random peer until ctx is done.
+// runGossip periodically exchanges gossip with a peer until ctx is done.
 func (gateway *Gateway) runGossip(ctx context.Context) {
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		gateway.pause(ctx, gossipInterval)
-		gateway.mu.Lock()
-		gateway.roster.RemoveExpired(time.Now())
-		peers := gateway.roster.Peers(gateway.random)
-		gateway.mu.Unlock()
-		if len(peers) > 0 {
-			gateway.gossipWith(ctx, peers[0])
+		if peer, ok := gateway.nextPeer(round); ok {
+			gateway.gossipWith(ctx, peer)
 		}
 	}
 }
 
+// nextPeer returns the peer of the round, or false if no peer is known.
+func (gateway *Gateway) nextPeer(round int) (dragonflyhatch.Member, bool) {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.roster.RemoveExpired(time.Now())
+	return gateway.roster.GossipPeer(gateway.random, round)
+}
+
 // runSeedJoins periodically joins the seeds that are not known members, until ctx
 // is done. It continues once other daemons are known, because two partitions of a
 // fleet that never find each other would each elect a leader.
@@ -104,23 +110,28 @@
 // exchange sends the daemon's gossip to the address and merges the response.
 func (gateway *Gateway) exchange(ctx context.Context, address string) error {
 	gateway.mu.Lock()
-	message := gateway.composeGossip(gateway.membersDiffer)
+	message := gateway.composeGossip(gateway.membersDiffer, gateway.peerVersions[address])
 	gateway.mu.Unlock()
 	reply, err := gateway.peers.Gossip(ctx, address, message)
 	if err != nil {
+		gateway.mu.Lock()
+		delete(gateway.peerVersions, address) // another process may have the address next time
+		gateway.mu.Unlock()
 		return err
 	}
 	gateway.mergeGossip(reply)
 	gateway.mu.Lock()
+	gateway.peerVersions[address] = reply.ReplicasVersion
 	gateway.membersDiffer = reply.MembersDigest != gateway.roster.Digest()
 	gateway.mu.Unlock()
 	return nil
 }
 
 // composeGossip returns the gossip message to a peer. If membersDiffer is set, that
-// is, if the peer may know other members than this daemon, it includes random ones.
+// is, if the peer may know other members than this daemon, it includes random ones. It
+// leaves out the changes of replicas up to the version that the peer is known to have.
 // The mutex must be held.
-func (gateway *Gateway) composeGossip(membersDiffer bool) dragonflyhatch.Gossip {
+func (gateway *Gateway) composeGossip(membersDiffer bool, peerVersion uint64) dragonflyhatch.Gossip {
 	now := time.Now()
 	gossip := dragonflyhatch.Gossip{
 		From:            gateway.roster.Self(),
@@ -132,9 +143,9 @@
 		Leader:          gateway.leader.host,
 		Term:            gateway.leader.term,
 	}
-	gossip.ReplicaUpdates, gossip.ReplicaUpdatesFrom = gateway.replicas.recentUpdates(now)
+	gossip.ReplicaUpdates, gossip.ReplicaUpdatesFrom = gateway.replicas.recentUpdates(now, peerVersion)
 	gossip.LostReplicas = gateway.View().UnreachableAddresses(now, maxUnreachableSent)
-	gossip.HeadLatencies = gateway.View().HeadLatencies(now, maxHeadsSent)
+	gossip.QueueWaits = gateway.View().QueueWaits(now, maxWaitsSent)
 	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
 	return gossip
 }
@@ -144,7 +155,7 @@
 	gateway.mergeGossip(gossip)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	return gateway.composeGossip(gossip.MembersDigest != gateway.roster.Digest())
+	return gateway.composeGossip(gossip.MembersDigest != gateway.roster.Digest(), gossip.ReplicasVersion)
 }
 
 // mergeGossip merges a peer's gossip, calls the members that it suspects, rechecks
@@ -175,7 +186,7 @@
 	}
 	gateway.mu.Unlock()
 
-	gateway.recordHeadLatencies(now, gossip.HeadLatencies)
+	gateway.recordQueueWaits(now, gossip.QueueWaits)
 	leavingFound := false
 	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
 		leavingFound = gateway.healths.GetProcess(process).MarkLeaving(now) || leavingFound
@@ -197,12 +208,12 @@
 	}
 }
 
-// recordHeadLatencies records what a peer reports of engines.
-func (gateway *Gateway) recordHeadLatencies(now time.Time, heads []dragonflyhatch.HeadLatency) {
+// recordQueueWaits records what a peer reports of the queues of engines.
+func (gateway *Gateway) recordQueueWaits(now time.Time, waits []dragonflyhatch.QueueWait) {
 	view := gateway.View()
-	for _, head := range heads[:min(len(heads), maxHeadsSent)] {
-		if node := view.NodeAt(head.Address); node != nil {
-			node.RecordPeersLatency(now.Add(-head.Age), head.Latency)
+	for _, wait := range waits[:min(len(waits), maxWaitsSent)] {
+		if node := view.NodeAt(wait.Address); node != nil {
+			node.RecordQueueWait(now.Add(-wait.Age), wait.Wait)
 		}
 	}
 }
@@ -243,19 +254,29 @@
 	}
 }
 
-// pushToPeers exchanges gossip with the leader and random peers, maxPushPeers in
-// all.
+// pushToPeers exchanges gossip with some of the neighbours, and with the leader if it
+// places layers by what this daemon has found.
 func (gateway *Gateway) pushToPeers(ctx context.Context) {
+	for _, peer := range gateway.pushPeers() {
+		go func() { _ = gateway.exchange(ctx, peer.PeerAddress) }() // if it fails, the next exchange repeats the updates
+	}
+}
+
+// pushPeers returns the peers of a push: all neighbours for a new configuration,
+// otherwise maxPushPeers of them, and the leader if a replica was found unreachable.
+func (gateway *Gateway) pushPeers() []dragonflyhatch.Member {
 	gateway.mu.Lock()
-	peers := gateway.roster.Peers(gateway.random)
-	leader := gateway.leader.host
-	gateway.mu.Unlock()
-	if index := slices.IndexFunc(peers, func(peer dragonflyhatch.Member) bool { return peer.Host == leader }); index > 0 {
-		peers[0], peers[index] = peers[index], peers[0]
+	defer gateway.mu.Unlock()
+	count := maxPushPeers
+	if gateway.pushToAll.Swap(false) {
+		count = hatchmember.MaxNeighbours
 	}
-	for _, peer := range peers[:min(len(peers), maxPushPeers)] {
-		go func() { _ = gateway.exchange(ctx, peer.PeerAddress) }() // if it fails, the next exchange repeats the updates
+	peers := gateway.roster.PushPeers(gateway.random, count)
+	if leader, ok := gateway.roster.Member(gateway.leader.host); ok && gateway.pushToLeader.Swap(false) &&
+		!slices.ContainsFunc(peers, func(peer dragonflyhatch.Member) bool { return peer.Host == leader.Host }) {
+		peers = append(peers, leader)
 	}
+	return peers
 }
 
 // updateDaemonCount stores the size of the roster for Daemons; the mutex must be
--- a/hatchgateway/placer.go
+++ b/hatchgateway/placer.go
@@ -85,18 +85,21 @@
 // runPlacement runs the placer until ctx is done.
 func (gateway *Gateway) runPlacement(ctx context.Context) {
 	placer := newPlacer(gateway)
-	ticker := time.NewTicker(placementInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(placementInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case result := <-placer.results:
 			placer.applyResult(result)
-		case now := <-ticker.C:
+		case now := <-timer.C:
+			interval := leaderCheckInterval // daemons that are not the leader wake up less often
 			if gateway.isLeader() {
 				placer.placeAll(ctx, now)
+				interval = placementInterval
 			}
+			timer.Reset(interval)
 		}
 	}
 }
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -89,14 +89,17 @@
 	}
 }
 
-// recentUpdates returns the recent changes and the version directly before them.
-func (set *replicaSet) recentUpdates(now time.Time) ([]dragonflyhatch.ReplicaChange, uint64) {
+// recentUpdates returns the recent changes after the version that the peer is known to
+// have, and the version that the peer needs in order to apply them.
+func (set *replicaSet) recentUpdates(now time.Time, peerVersion uint64) ([]dragonflyhatch.ReplicaChange, uint64) {
 	set.trimRecent(now)
 	var changes []dragonflyhatch.ReplicaChange
 	for _, change := range set.recent {
-		changes = append(changes, change.ReplicaChange)
+		if change.Replica.Revision > peerVersion {
+			changes = append(changes, change.ReplicaChange)
+		}
 	}
-	return changes, set.recentBase
+	return changes, max(set.recentBase, peerVersion)
 }
 
 // applyUpdates applies a peer's recent changes if all changes up to the base version
--- a/hatchgateway/replicas_test.go
+++ b/hatchgateway/replicas_test.go
@@ -53,6 +53,40 @@
 	})
 }
 
+func TestUpdatesForPeers(t *testing.T) {
+	now := time.Now()
+	convey.Convey("Given a daemon with recent changes", t, func() {
+		origin := newReplicaSet()
+		origin.replace([]dragonflyhatch.Replica{newTestReplica("a", 5, false)}, 5, now)
+		for revision := uint64(6); revision <= 9; revision++ {
+			replica := newTestReplica("a", revision, revision == 9)
+			origin.put(replica)
+			origin.recordChange(dragonflyhatch.ReplicaChange{Replica: replica}, now)
+		}
+		origin.markComplete(9)
+		convey.Convey("A peer gets the changes that it is not known to have, and can apply them", func() {
+			receiver := newReplicaSet()
+			receiver.replace([]dragonflyhatch.Replica{newTestReplica("a", 7, false)}, 7, now)
+			changes, base := origin.recentUpdates(now, 7)
+			convey.So(changes, convey.ShouldHaveLength, 2)
+			convey.So(receiver.applyUpdates(changes, base, now), convey.ShouldBeTrue)
+			convey.So(receiver.completeVersion, convey.ShouldEqual, 9)
+			convey.So(receiver.list()[0].Leaving, convey.ShouldBeTrue)
+		})
+		convey.Convey("A peer that has them all gets none", func() {
+			changes, _ := origin.recentUpdates(now, 9)
+			convey.So(changes, convey.ShouldBeEmpty)
+		})
+		convey.Convey("A process that took the place of the peer does not apply changes that it would have gaps before", func() {
+			receiver := newReplicaSet()
+			receiver.replace(nil, 3, now)
+			changes, base := origin.recentUpdates(now, 7)
+			convey.So(receiver.applyUpdates(changes, base, now), convey.ShouldBeFalse)
+			convey.So(receiver.completeVersion, convey.ShouldEqual, 3)
+		})
+	})
+}
+
 func TestSnapshotsOfReplicas(t *testing.T) {
 	now := time.Now()
 	convey.Convey("Given a daemon that keeps a registration which is missing after an outage of the store", t, func() {
--- a/hatchlimit/admission.go
+++ b/hatchlimit/admission.go
@@ -3,14 +3,17 @@
 import "time"
 
 const (
-	// A new stream is admitted with certainty while its first event is expected before
+	// A new stream is admitted with certainty while it is expected to wait for less than
 	// admitUntil of the route's target, and refused with certainty from refuseFrom on;
-	// between them the probability of a refusal rises evenly. A stream that waits any
-	// longer in an engine's queue is late, and makes those behind it late.
-	admitUntil = 0.6
-	refuseFrom = 1.1
-	// returnedAllowance is added to both for a stream that was refused before.
-	returnedAllowance = 0.15
+	// between them the probability of a refusal rises evenly. Beyond that a stream is
+	// late, and so are those that wait behind it.
+	admitUntil = 0.1
+	refuseFrom = 0.7
+	// returnedUntil and returnedFrom are the same for a stream that was refused before.
+	// It is late in any case, so that it takes only places that new ones leave free:
+	// otherwise all streams of an overload would be late in the end.
+	returnedUntil = 0.0
+	returnedFrom  = 0.3
 	// minReturnDelay is the shortest time after which a refused caller should return:
 	// the queue of an engine that is full changes within seconds.
 	minReturnDelay = 2 * time.Second
@@ -21,21 +24,30 @@
 )
 
 // RefusalProbability returns the probability, from 0 to 1, with which a stream is
-// refused whose first event is expected after the given time and wanted within the
-// target. The daemons decide independently of each other, so that together they admit
-// the share of the streams at which the expected time stays within the target.
-func RefusalProbability(expected, target time.Duration, returned bool) float64 {
+// refused that is expected to wait for the given time and whose first event is wanted
+// within the target. The daemons decide independently of each other, so that together
+// they admit the share of the streams at which the wait stays within the target.
+func RefusalProbability(wait, target time.Duration, returned bool) float64 {
 	if target <= 0 {
 		return 0
 	}
 	from, to := admitUntil, refuseFrom
 	if returned {
-		from, to = from+returnedAllowance, to+returnedAllowance
+		from, to = returnedUntil, returnedFrom
 	}
-	share := float64(expected) / float64(target)
+	share := float64(wait) / float64(target)
 	return min(max((share-from)/(to-from), 0), 1)
 }
 
+// QueueWait returns how long a stream that joins a queue is expected to wait. Places
+// are freed at the rate at which the running streams end, which take runTime on average.
+func QueueWait(waiting, running int, runTime time.Duration) time.Duration {
+	if waiting <= 0 {
+		return 0
+	}
+	return time.Duration(float64(waiting) / float64(max(running, 1)) * float64(runTime))
+}
+
 // ReturnDelay returns the time after which a refused caller that has the given time
 // left should return. The draw, from 0 to 1, spreads the callers that are refused at
 // the same time.
--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -32,8 +32,20 @@
 type Roster struct {
 	self    dragonflyhatch.Member
 	members map[string]*rosterEntry // by host, without self
+
+	// What follows is derived from the members, so that the cost of a message does not
+	// grow with their number.
+	membersDigest uint64               // without self
+	pending       map[string]bool      // hosts with pending sends
+	suspectCount  int                  // number of suspects
+	sortedHosts   []string             // nil if stale
+	rings         []ring               // nil if stale
+	weights       map[weightKey]uint64 // rendezvous weights that were needed so far
 }
 
+// weightKey identifies the rendezvous weight of a host for a duty.
+type weightKey struct{ name, host string }
+
 type rosterEntry struct {
 	dragonflyhatch.Member
 	failures     int       // consecutive failed calls from this daemon
@@ -48,7 +60,10 @@
 
 // NewRoster returns the roster of a daemon that knows no other members yet.
 func NewRoster(self dragonflyhatch.Member) *Roster {
-	return &Roster{self: self, members: make(map[string]*rosterEntry)}
+	return &Roster{
+		self: self, members: make(map[string]*rosterEntry),
+		pending: make(map[string]bool), weights: make(map[weightKey]uint64),
+	}
 }
 
 // Self returns this daemon's description of itself.
@@ -96,10 +111,38 @@
 	if ok && known.Process == member.Process {
 		entry.failures, entry.suspectSince, entry.lastCalled = known.failures, known.suspectSince, known.lastCalled
 	}
+	if ok {
+		roster.forget(known)
+	}
+	if !ok || known.Site != member.Site {
+		roster.sortedHosts, roster.rings = nil, nil
+	}
+	roster.membersDigest ^= memberHash(member)
+	roster.pending[member.Host] = true
+	if entry.isSuspect() {
+		roster.suspectCount++
+	}
 	roster.members[member.Host] = entry
 	return true
 }
 
+// forget removes the entry from what is derived from the members.
+func (roster *Roster) forget(entry *rosterEntry) {
+	roster.membersDigest ^= memberHash(entry.Member)
+	if entry.isSuspect() {
+		roster.suspectCount--
+	}
+}
+
+// Member returns the description of the host, or false if it is not a known member.
+func (roster *Roster) Member(host string) (dragonflyhatch.Member, bool) {
+	entry, ok := roster.members[host]
+	if !ok {
+		return dragonflyhatch.Member{}, false
+	}
+	return entry.Member, true
+}
+
 // HasAddress reports whether the address is the peer address of this daemon or
 // of a member.
 func (roster *Roster) HasAddress(peerAddress string) bool {
@@ -122,6 +165,9 @@
 		return false
 	}
 	wasSuspect := entry.isSuspect()
+	if wasSuspect {
+		roster.suspectCount--
+	}
 	entry.failures, entry.lastCalled, entry.suspectSince = 0, now, time.Time{}
 	return wasSuspect
 }
@@ -139,6 +185,7 @@
 		return false
 	}
 	entry.suspectSince = now
+	roster.suspectCount++
 	return true
 }
 
@@ -164,8 +211,11 @@
 // Suspects returns the hosts that are suspect because they did not answer this
 // daemon.
 func (roster *Roster) Suspects() []string {
+	if roster.suspectCount == 0 {
+		return nil
+	}
 	var hosts []string
-	for _, host := range slices.Sorted(maps.Keys(roster.members)) {
+	for _, host := range roster.hosts() {
 		if roster.members[host].isSuspect() {
 			hosts = append(hosts, host)
 		}
@@ -176,21 +226,52 @@
 // RemoveExpired removes members that have been suspect for longer than
 // suspectRetention.
 func (roster *Roster) RemoveExpired(now time.Time) {
+	if roster.suspectCount == 0 {
+		return
+	}
 	for host, entry := range roster.members {
 		if entry.isSuspect() && now.Sub(entry.suspectSince) > suspectRetention {
+			roster.forget(entry)
 			delete(roster.members, host)
+			delete(roster.pending, host)
+			roster.sortedHosts, roster.rings = nil, nil
 		}
 	}
 }
 
+// hosts returns the hosts of the other members in order. The slice is shared.
+func (roster *Roster) hosts() []string {
+	if roster.sortedHosts == nil {
+		roster.sortedHosts = slices.Sorted(maps.Keys(roster.members))
+	}
+	return roster.sortedHosts
+}
+
 // Peers returns the other members in random order. It includes suspects, so
 // that calls find out when one has recovered.
 func (roster *Roster) Peers(random *rand.Rand) []dragonflyhatch.Member {
-	var peers []dragonflyhatch.Member
-	for _, host := range slices.Sorted(maps.Keys(roster.members)) {
-		peers = append(peers, roster.members[host].Member)
+	return roster.RandomPeers(random, len(roster.members))
+}
+
+// RandomPeers returns up to count other members, each set of them with the same
+// probability. It includes suspects.
+func (roster *Roster) RandomPeers(random *rand.Rand, count int) []dragonflyhatch.Member {
+	hosts := roster.hosts()
+	count = min(count, len(hosts))
+	moved := make(map[int]int, count) // positions of a shuffle that only its first steps have changed
+	peers := make([]dragonflyhatch.Member, 0, count)
+	at := func(position int) int {
+		if index, ok := moved[position]; ok {
+			return index
+		}
+		return position
+	}
+	for i := range count {
+		j := i + random.IntN(len(hosts)-i)
+		chosen := at(j)
+		moved[j] = at(i)
+		peers = append(peers, roster.members[hosts[chosen]].Member)
 	}
-	random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers
 }
 
@@ -198,11 +279,7 @@
 // included. Rosters with the same members in the same versions have the same
 // digest.
 func (roster *Roster) Digest() uint64 {
-	sum := memberHash(roster.self)
-	for _, entry := range roster.members {
-		sum ^= memberHash(entry.Member)
-	}
-	return sum
+	return roster.membersDigest ^ memberHash(roster.self)
 }
 
 func memberHash(member dragonflyhatch.Member) uint64 {
@@ -213,20 +290,28 @@
 // updates, then random others if differs is set, that is, if the peer's roster may
 // differ.
 func (roster *Roster) NextBatch(random *rand.Rand, differs bool) []dragonflyhatch.Member {
-	peers := roster.Peers(random)
+	hosts := slices.Sorted(maps.Keys(roster.pending))
+	random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	slices.SortStableFunc(hosts, func(a, b string) int {
+		return cmp.Compare(roster.members[b].pendingSends, roster.members[a].pendingSends)
+	})
+	var batch []dragonflyhatch.Member
+	for _, host := range hosts[:min(len(hosts), maxMembersPerMessage)] {
+		entry := roster.members[host]
+		batch = append(batch, entry.Member)
+		if entry.pendingSends--; entry.pendingSends == 0 {
+			delete(roster.pending, host)
+		}
+	}
 	if !differs {
-		peers = slices.DeleteFunc(peers, func(peer dragonflyhatch.Member) bool { return roster.members[peer.Host].pendingSends == 0 })
+		return batch
 	}
-	slices.SortStableFunc(peers, func(a, b dragonflyhatch.Member) int {
-		return cmp.Compare(roster.members[b.Host].pendingSends, roster.members[a.Host].pendingSends)
-	})
-	peers = peers[:min(len(peers), maxMembersPerMessage)]
-	for _, peer := range peers {
-		if entry := roster.members[peer.Host]; entry.pendingSends > 0 {
-			entry.pendingSends--
+	for _, peer := range roster.RandomPeers(random, maxMembersPerMessage) {
+		if len(batch) < maxMembersPerMessage && !slices.ContainsFunc(batch, func(member dragonflyhatch.Member) bool { return member.Host == peer.Host }) {
+			batch = append(batch, peer)
 		}
 	}
-	return peers
+	return batch
 }
 
 // Serving returns the members that accept requests, sorted by host. It includes
@@ -274,15 +359,37 @@
 // the named duty. Daemons that cannot reach the store come last; hosts with
 // more CPU come first. It returns -1 if this daemon is leaving.
 func (roster *Roster) Rank(name string) int {
-	serving := roster.Serving()
-	slices.SortFunc(serving, func(a, b dragonflyhatch.Member) int {
-		return cmp.Or(
-			compareBool(a.StoreLost, b.StoreLost),
-			cmp.Compare(b.MilliCores, a.MilliCores),
-			cmp.Compare(rendezvousWeight(name, a.Host), rendezvousWeight(name, b.Host)),
+	if roster.self.Leaving {
+		return -1
+	}
+	rank, ownWeight := 0, roster.weight(name, roster.self.Host)
+	for _, entry := range roster.members {
+		if entry.Leaving || entry.isSuspect() {
+			continue
+		}
+		order := cmp.Or(
+			compareBool(entry.StoreLost, roster.self.StoreLost),
+			cmp.Compare(roster.self.MilliCores, entry.MilliCores),
 		)
-	})
-	return slices.IndexFunc(serving, func(member dragonflyhatch.Member) bool { return member.Host == roster.self.Host })
+		if order == 0 {
+			order = cmp.Compare(roster.weight(name, entry.Host), ownWeight)
+		}
+		if order < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+// weight returns the rendezvous weight of the host for the name.
+func (roster *Roster) weight(name, host string) uint64 {
+	key := weightKey{name, host}
+	weight, ok := roster.weights[key]
+	if !ok {
+		weight = rendezvousWeight(name, host)
+		roster.weights[key] = weight
+	}
+	return weight
 }
 
 // IsServing reports whether the host accepts requests, as far as this daemon
--- a/hatchorder/placement.go
+++ b/hatchorder/placement.go
@@ -9,11 +9,12 @@
 
 const (
 	// layerMemoryShare is the share of an engine's memory that a placement
-	// fills with layers. The rest is KV memory: about 110,000 tokens for a
+	// fills with layers. The rest is KV memory: about 130,000 tokens for a
 	// model with 1,750 MB and 7.4 kB per token in each layer. It is that large
 	// because a site must be able to serve half of another site's requests in
-	// addition to its own.
-	layerMemoryShare = 0.69
+	// addition to its own. Small engines hold less because they hold whole layers;
+	// with a greater share the large ones are the first whose KV memory is full.
+	layerMemoryShare = 0.65
 	// maxLayerMemoryShare is the share for an engine that takes over layers of
 	// a lost one.
 	maxLayerMemoryShare = 0.9
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -49,7 +49,7 @@
 	nextSlowdownQuery atomic.Int64 // earliest time of the next query of the slowdown
 	latency           average      // seconds
 	firstEventLatency atomic.Pointer[timedLatency]
-	peersLatency      atomic.Pointer[timedLatency] // time to the first event as reported by other daemons
+	queueWait         atomic.Pointer[timedLatency] // expected of streams that the engine heads
 	awaited           awaitedStreams
 	failureRate       average // share of responses that are failures
 	load              atomic.Pointer[timedLoad]
@@ -72,9 +72,13 @@
 // time after which callers abandon a silent stream.
 const firstEventMaxAge = 2 * time.Second
 
-// peersLatencyWeight is the weight of the newest report of other daemons in the moving
-// average: each of them is the observation of one daemon.
-const peersLatencyWeight = 0.4
+const (
+	// queueWaitMaxAge is how long an expected wait is used. Queues grow by a few
+	// hundred milliseconds in a second of overload.
+	queueWaitMaxAge = 2 * time.Second
+	// queueWaitWeight is the weight of the newest observation in the moving average.
+	queueWaitWeight = 0.5
+)
 
 // RecordFirstEvent records the time to the first event of a stream that the engine
 // heads.
@@ -86,29 +90,26 @@
 	health.firstEventLatency.Store(&timedLatency{mean, now}) // one of two concurrent updates may be lost
 }
 
-// RecordPeersLatency records the time to the first event that another daemon reports
-// of streams that the engine heads. It is ignored unless it was observed at a later
-// time than the report before.
-func (health *Health) RecordPeersLatency(observed time.Time, latency time.Duration) {
-	previous := health.peersLatency.Load()
-	if previous != nil && !observed.After(previous.at) {
+// RecordQueueWait records how long a stream that the engine heads is expected to wait
+// in its queue, as observed by this daemon or reported by another one. An observation
+// that is older than the latest one is ignored.
+func (health *Health) RecordQueueWait(observed time.Time, wait time.Duration) {
+	previous := health.queueWait.Load()
+	switch {
+	case previous == nil:
+	case !observed.After(previous.at):
 		return
+	case observed.Sub(previous.at) <= queueWaitMaxAge:
+		wait = previous.mean + time.Duration(queueWaitWeight*float64(wait-previous.mean))
 	}
-	if previous != nil && observed.Sub(previous.at) <= firstEventMaxAge {
-		latency = previous.mean + time.Duration(peersLatencyWeight*float64(latency-previous.mean))
-	}
-	health.peersLatency.CompareAndSwap(previous, &timedLatency{latency, observed})
+	health.queueWait.CompareAndSwap(previous, &timedLatency{wait, observed})
 }
 
-// LatestFirstEvent returns the latest known time to the first event of streams that the
-// engine heads, and when it was observed by this daemon or by another one. It returns
-// false if there is none from the last firstEventMaxAge.
-func (health *Health) LatestFirstEvent(now time.Time) (latency time.Duration, observed time.Time, ok bool) {
-	latest := health.firstEventLatency.Load()
-	if peers := health.peersLatency.Load(); peers != nil && (latest == nil || peers.at.After(latest.at)) {
-		latest = peers
-	}
-	if latest == nil || now.Sub(latest.at) > firstEventMaxAge {
+// LatestQueueWait returns the latest expected wait in the engine's queue and when it
+// was observed, or false if it was observed longer than queueWaitMaxAge ago.
+func (health *Health) LatestQueueWait(now time.Time) (wait time.Duration, observed time.Time, ok bool) {
+	latest := health.queueWait.Load()
+	if latest == nil || now.Sub(latest.at) > queueWaitMaxAge {
 		return 0, time.Time{}, false
 	}
 	return latest.mean, latest.at, true
@@ -161,11 +162,11 @@
 	return total / time.Duration(len(awaited.starts))
 }
 
-// ExpectedFirstEvent returns the estimated time to the first event of a stream that is
-// sent to the engine now: the latest known one, or the mean time that this daemon's
-// streams have waited there so far, if that is longer.
-func (health *Health) ExpectedFirstEvent(now time.Time) time.Duration {
-	latest, _, _ := health.LatestFirstEvent(now)
+// ExpectedWait returns how long a stream that is sent to the engine now is expected to
+// wait for its first event: the latest known wait in the engine's queue, or the mean time
+// that this daemon's streams have waited there so far, if that is longer.
+func (health *Health) ExpectedWait(now time.Time) time.Duration {
+	latest, _, _ := health.LatestQueueWait(now)
 	return max(latest, health.awaited.meanAge(now))
 }
 
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -344,7 +344,7 @@
 // loadCost returns the utilization of the pipeline, plus the weighted time that a
 // stream of its head is expected to take to its first event.
 func (set *engineSet) loadCost(now time.Time, cover *cover, daemons int) float64 {
-	return set.utilization(now, cover, daemons) + firstEventWeight*cover.stages[0].node.ExpectedFirstEvent(now).Seconds()
+	return set.utilization(now, cover, daemons) + firstEventWeight*max(cover.stages[0].node.FirstEventLatency(now), cover.stages[0].node.ExpectedWait(now)).Seconds()
 }
 
 // utilization returns the highest KV memory utilization among the stages. It is
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -119,24 +119,24 @@
 	return processes
 }
 
-// HeadLatencies returns the times to the first event that are known of engines, the
+// QueueWaits returns the expected waits in the queues of engines that are known, the
 // latest first, at most limit of them.
-func (view *View) HeadLatencies(now time.Time, limit int) []dragonflyhatch.HeadLatency {
-	var heads []dragonflyhatch.HeadLatency
+func (view *View) QueueWaits(now time.Time, limit int) []dragonflyhatch.QueueWait {
+	var waits []dragonflyhatch.QueueWait
 	for _, set := range view.engines {
 		for _, node := range set.all {
 			if node.Held.First > 0 {
 				continue // only an engine that holds the first layer is a head
 			}
-			if latency, observed, ok := node.LatestFirstEvent(now); ok {
-				heads = append(heads, dragonflyhatch.HeadLatency{Address: node.Address, Latency: latency, Age: now.Sub(observed)})
+			if wait, observed, ok := node.LatestQueueWait(now); ok {
+				waits = append(waits, dragonflyhatch.QueueWait{Address: node.Address, Wait: wait, Age: now.Sub(observed)})
 			}
 		}
 	}
-	slices.SortFunc(heads, func(a, b dragonflyhatch.HeadLatency) int {
+	slices.SortFunc(waits, func(a, b dragonflyhatch.QueueWait) int {
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Address, b.Address))
 	})
-	return heads[:min(len(heads), limit)]
+	return waits[:min(len(waits), limit)]
 }
 
 // NodeAt returns the node with the address, or nil if there is none or it is leaving.
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -153,9 +153,9 @@
 	for _, process := range gossip.LeavingReplicas {
 		message.LeavingReplicas = append(message.LeavingReplicas, &ReplicaProcess{Id: process.ID, Address: process.Address, Started: process.Started})
 	}
-	for _, head := range gossip.HeadLatencies {
-		message.HeadLatencies = append(message.HeadLatencies, &HeadLatency{
-			Address: head.Address, LatencyMs: uint32(head.Latency.Milliseconds()), AgeMs: uint32(head.Age.Milliseconds()),
+	for _, wait := range gossip.QueueWaits {
+		message.QueueWaits = append(message.QueueWaits, &QueueWait{
+			Address: wait.Address, WaitMs: uint32(wait.Wait.Milliseconds()), AgeMs: uint32(wait.Age.Milliseconds()),
 		})
 	}
 	if len(gossip.ReplicaUpdates) > 0 {
@@ -184,9 +184,9 @@
 	for _, process := range message.GetLeavingReplicas() {
 		gossip.LeavingReplicas = append(gossip.LeavingReplicas, dragonflyhatch.ReplicaProcess{ID: process.GetId(), Address: process.GetAddress(), Started: process.GetStarted()})
 	}
-	for _, head := range message.GetHeadLatencies() {
-		gossip.HeadLatencies = append(gossip.HeadLatencies, dragonflyhatch.HeadLatency{
-			Address: head.GetAddress(), Latency: time.Duration(head.GetLatencyMs()) * time.Millisecond, Age: time.Duration(head.GetAgeMs()) * time.Millisecond,
+	for _, wait := range message.GetQueueWaits() {
+		gossip.QueueWaits = append(gossip.QueueWaits, dragonflyhatch.QueueWait{
+			Address: wait.GetAddress(), Wait: time.Duration(wait.GetWaitMs()) * time.Millisecond, Age: time.Duration(wait.GetAgeMs()) * time.Millisecond,
 		})
 	}
 	if changes := message.GetReplicaNews(); len(changes) > 0 && json.Unmarshal(changes, &gossip.ReplicaUpdates) == nil {
