hatchgateway: tests of leaving replicas, queue waits and pushes in gossip

TestGossipOfReplicas and TestPeersOfAPush pin what gossip carries on of leaving processes and of waits, its bounds, and which peers a push goes to.

--- /dev/null
+++ b/hatchgateway/gossip_test.go
@@ -0,0 +1,98 @@
+package hatchgateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchmember"
+)
+
+func TestGossipOfReplicas(t *testing.T) {
+	convey.Convey("Given a daemon that knows two engines", t, func() {
+		gateway := newTestPlacer("lm").gateway
+		engines := []dragonflyhatch.Replica{testEngine("lm", 0, 0, 8), testEngine("lm", 1, 0, 8)}
+		gateway.mu.Lock()
+		gateway.replicas.replace(engines, 2, time.Now())
+		gateway.rebuildView()
+		gateway.mu.Unlock()
+		peer := dragonflyhatch.Gossip{From: dragonflyhatch.Member{Host: "h-2", PeerAddress: "127.0.0.1:1", Version: 1}, ReplicasVersion: 2}
+		convey.Convey("An engine that stated to a peer that it is leaving is out of use here, and the news goes on", func() {
+			peer.LeavingReplicas = []dragonflyhatch.ReplicaProcess{engines[0].Process()}
+			gateway.ExchangeGossip(peer)
+			convey.So(gateway.View().NodeAt(engines[0].Address).IsLeaving(), convey.ShouldBeTrue)
+			convey.So(gateway.View().NodeAt(engines[1].Address).IsLeaving(), convey.ShouldBeFalse)
+			convey.So(gateway.ExchangeGossip(peer).LeavingReplicas, convey.ShouldResemble, peer.LeavingReplicas)
+			convey.Convey("also when its registration was missing for a while, but not a new process", func() {
+				gateway.mu.Lock()
+				gateway.replicas.replace(engines[1:], 3, time.Now())
+				gateway.rebuildView()
+				restarted := engines[0]
+				restarted.Started, restarted.Revision, restarted.ID = 5, 5, "lm-5"
+				engines[0].Revision = 4
+				gateway.replicas.replace([]dragonflyhatch.Replica{engines[0], engines[1]}, 4, time.Now())
+				gateway.rebuildView()
+				gateway.mu.Unlock()
+				convey.So(gateway.View().NodeAt(engines[0].Address).IsLeaving(), convey.ShouldBeTrue)
+				gateway.mu.Lock()
+				gateway.replicas.replace([]dragonflyhatch.Replica{restarted, engines[1]}, 5, time.Now())
+				gateway.rebuildView()
+				gateway.mu.Unlock()
+				convey.So(gateway.View().NodeAt(engines[0].Address).IsLeaving(), convey.ShouldBeFalse)
+			})
+		})
+		convey.Convey("The latest known wait in an engine's queue is kept and sent on, an older one is not", func() {
+			report := func(wait, age time.Duration) time.Duration {
+				peer.QueueWaits = []dragonflyhatch.QueueWait{{Address: engines[0].Address, Wait: wait, Age: age}}
+				gateway.ExchangeGossip(peer)
+				return gateway.View().NodeAt(engines[0].Address).ExpectedWait(time.Now())
+			}
+			convey.So(report(time.Second, time.Second), convey.ShouldEqual, time.Second)
+			convey.So(report(9*time.Second, 1500*time.Millisecond), convey.ShouldEqual, time.Second)
+			convey.So(report(500*time.Millisecond, 100*time.Millisecond), convey.ShouldEqual, 750*time.Millisecond)
+			sent := gateway.ExchangeGossip(dragonflyhatch.Gossip{}).QueueWaits
+			convey.So(sent, convey.ShouldHaveLength, 1)
+			convey.So(sent[0].Wait, convey.ShouldEqual, 750*time.Millisecond)
+			convey.So(sent[0].Age, convey.ShouldBeBetween, 100*time.Millisecond, time.Second)
+		})
+		convey.Convey("More waits and leaving processes than a message may have are not all taken", func() {
+			for range 10 * maxLeavingSent {
+				peer.LeavingReplicas = append(peer.LeavingReplicas, dragonflyhatch.ReplicaProcess{ID: "unknown", Started: int64(len(peer.LeavingReplicas))})
+				peer.QueueWaits = append(peer.QueueWaits, dragonflyhatch.QueueWait{Address: "unknown"})
+			}
+			gateway.ExchangeGossip(peer)
+			convey.So(gateway.View().LeavingProcesses(100), convey.ShouldBeEmpty)
+		})
+	})
+}
+
+func TestPeersOfAPush(t *testing.T) {
+	convey.Convey("Given a daemon in a fleet of forty", t, func() {
+		gateway := newTestPlacer("lm").gateway
+		gateway.roster = hatchmember.NewRoster(dragonflyhatch.Member{Host: "h-0", Site: "a", Version: 1})
+		for i := range 39 {
+			host := string(rune('A'+i%26)) + string(rune('a'+i/26))
+			gateway.roster.Merge(dragonflyhatch.Member{Host: host, Site: string(rune('a' + i%3)), Version: 1})
+		}
+		gateway.leader.host = "Aa"
+		hosts := func() (list []string) {
+			for _, peer := range gateway.pushPeers() {
+				list = append(list, peer.Host)
+			}
+			return list
+		}
+		convey.Convey("An update goes to a few neighbours, a configuration to all of them", func() {
+			convey.So(hosts(), convey.ShouldHaveLength, maxPushPeers)
+			gateway.pushToAll.Store(true)
+			convey.So(hosts(), convey.ShouldHaveLength, len(gateway.roster.Neighbours()))
+			convey.So(hosts(), convey.ShouldHaveLength, maxPushPeers)
+		})
+		convey.Convey("An unreachable replica is reported to the leader once", func() {
+			gateway.ReportUnreachable(testEngine("lm", 0, 0, 8))
+			convey.So(hosts(), convey.ShouldContain, "Aa")
+			convey.So(len(hosts()), convey.ShouldEqual, maxPushPeers)
+		})
+	})
+}
