Admission: only a pipeline that is full has a queue; who has returned is told by the time left

Change: streams count as queued from 90% of the pipeline's KV capacity on; an age below 200 ms shows nothing; a request has returned if it has less than 85% of the longest time left, and callers are asked to return after 16 to 30% of it.

--- a/hatchforward/admission.go
+++ b/hatchforward/admission.go
@@ -8,11 +8,6 @@
 	"dragonflyhatch/hatchpath"
 )
 
-// returnedMargin is how much less time than usual a request must have left to count as
-// one that was refused before and has returned. It is more than a request takes to
-// arrive and less than the shortest delay after which callers return.
-const returnedMargin = 400 * time.Millisecond
-
 // defaultRunTime is the mean time of a stream at its engines before any has ended.
 const defaultRunTime = 4 * time.Second
 
@@ -37,21 +32,24 @@
 }
 
 // hasReturned reports whether a request of the route that has the given time left has
-// been refused before: its caller then has less time left than those of new requests.
+// been refused before.
 func (forwarder *Forwarder) hasReturned(route string, left time.Duration) bool {
 	forwarder.mu.Lock()
 	defer forwarder.mu.Unlock()
 	longest := max(forwarder.longestLeft[route], left)
 	forwarder.longestLeft[route] = longest
-	return left > 0 && left < longest-returnedMargin
+	return hatchlimit.HasReturned(left, longest)
 }
 
-// recordQueue records how long further streams are expected to wait at the head, by the
-// load that it reports with the first event of a stream.
-func (stream *stream) recordQueue(head *hatchpath.Node, load *dragonflyhatch.ServiceLoad) {
-	if load != nil && stream.service.Model != nil {
-		head.RecordQueueWait(time.Now(), hatchlimit.QueueWait(load.Waiting, load.Running, stream.forwarder.meanRunTime(stream.service.Name)))
+// recordQueue records how long further streams are expected to wait at the pipeline's
+// head, by the load that it reports with the first event of a stream.
+func (stream *stream) recordQueue(pipeline *hatchpath.Pipeline, load *dragonflyhatch.ServiceLoad) {
+	if load == nil || stream.service.Model == nil {
+		return
 	}
+	capacity := min(pipeline.StreamCapacity(stream.service.Model), load.Slots)
+	wait := hatchlimit.QueueWait(load.Waiting, load.Running, capacity, stream.forwarder.meanRunTime(stream.service.Name))
+	pipeline.Nodes[0].RecordQueueWait(time.Now(), wait)
 }
 
 // runTimeWeight is the weight of the latest stream in the mean run time.
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -194,7 +194,7 @@
 	info := stream.forwarder.dialect.ParseResponse(response.StatusCode, response.Header)
 	head.MarkReachable(time.Now())
 	stream.observe(head, response.StatusCode, info)
-	stream.recordQueue(head, info.Load)
+	stream.recordQueue(pipeline, info.Load)
 	if response.StatusCode == http.StatusOK && isEventStream(response.Header) {
 		if !info.Sealed || info.ID != "" && info.ID != stream.info.ID {
 			return stream.diagnoseFailure(pipeline, watch, errors.New("the response has no seal or belongs to another request"))
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -162,12 +162,18 @@
 	return total / time.Duration(len(awaited.starts))
 }
 
+// usualFirstEvent is the time to a first event that streams take without a queue.
+const usualFirstEvent = 200 * time.Millisecond
+
 // ExpectedWait returns how long a stream that is sent to the engine now is expected to
-// wait for its first event: the latest known wait in the engine's queue, or the mean time
-// that this daemon's streams have waited there so far, if that is longer.
+// wait in its queue: the latest known wait, or the mean time that this daemon's streams
+// have waited there so far, if that is longer and more than usual without a queue.
 func (health *Health) ExpectedWait(now time.Time) time.Duration {
 	latest, _, _ := health.LatestQueueWait(now)
-	return max(latest, health.awaited.meanAge(now))
+	if age := health.awaited.meanAge(now); age > max(latest, usualFirstEvent) {
+		return age
+	}
+	return latest
 }
 
 const (
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -366,6 +366,21 @@
 	return float64((head.Running+head.Waiting)*set.model.MeanTokens) / minCapacity
 }
 
+// StreamCapacity returns how many streams of mean length fit in the KV memory of the
+// pipeline's tightest stage, or math.MaxInt if that is not known.
+func (pipeline *Pipeline) StreamCapacity(model *dragonflyhatch.EngineModel) int {
+	capacity := math.Inf(1)
+	for _, node := range pipeline.Nodes {
+		if tokens := KVCapacity(model, model.Accelerators[node.Accelerator], node.Held.LayerRange); tokens > 0 {
+			capacity = min(capacity, tokens/float64(max(model.MeanTokens, 1)))
+		}
+	}
+	if math.IsInf(capacity, 1) {
+		return math.MaxInt
+	}
+	return int(capacity)
+}
+
 // KVCapacity returns how many tokens fit in the KV memory of an engine with the
 // accelerator that holds the given layers. Each token occupies KV memory in each of
 // these layers.
