One connection for each call to an upstream and to the store

Cause: reads of services, calls to engines and calls to the store used kept connections. Change: each call has a connection of its own; heads and replies of upstreams are bounded. The clients for each engine's address are not needed any more. Ruled out: net/http's check of unsolicited responses: it sees only copies that arrive while the connection is idle. The gateway's attempts at replicas and its layer commands had connections of their own already.

--- a/hatchupstream/client.go
+++ b/hatchupstream/client.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	dialTimeout         = 500 * time.Millisecond
-	maxIdleConnsPerHost = 64
-	idleConnTimeout     = 30 * time.Second
-	maxErrorText        = 512 // bytes of an upstream's error text that are passed on
+	dialTimeout       = 500 * time.Millisecond
+	maxResponseHeader = 64 << 10 // bytes
+	maxControlReply   = 1 << 20  // bytes of the reply to a call that does not stream
+	maxErrorText      = 512      // bytes of an upstream's error text that are passed on
 )
 
 // LeavingError is the cause of a refusal by an upstream that is shutting down.
@@ -31,12 +31,15 @@
 	return "upstream " + err.Address + " is leaving"
 }
 
-// newTransport returns a transport with a connection pool of its own.
+// newTransport returns a transport that uses a new connection for each call. A
+// connection that is kept may have broken unnoticed, so that it is unknown whether a
+// call on it arrived, and an upstream may send a second copy of a response on it, which
+// the next call would take for its own.
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 }
 
--- a/hatchupstream/engine.go
+++ b/hatchupstream/engine.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,9 +24,7 @@
 // Engine is a client of the engines' protocol: HTTP with one JSON frame per line.
 type Engine struct {
 	streamIdleTimeout time.Duration
-
-	mu      sync.Mutex
-	clients map[string]*http.Client // by address, so that the connections to one engine can be dropped without the others
+	http              *http.Client
 }
 
 var _ dragonflyhatch.Engine = (*Engine)(nil)
@@ -44,35 +41,13 @@
 // NewEngine returns an engine client; streams time out after one second without
 // a frame unless WithStreamIdleTimeout sets another time.
 func NewEngine(options ...EngineOption) *Engine {
-	engine := &Engine{streamIdleTimeout: time.Second, clients: make(map[string]*http.Client)}
+	engine := &Engine{streamIdleTimeout: time.Second, http: &http.Client{Transport: newTransport()}}
 	for _, option := range options {
 		option(engine)
 	}
 	return engine
 }
 
-func (engine *Engine) client(address string) *http.Client {
-	engine.mu.Lock()
-	defer engine.mu.Unlock()
-	client, ok := engine.clients[address]
-	if !ok {
-		client = &http.Client{Transport: newTransport()}
-		engine.clients[address] = client
-	}
-	return client
-}
-
-// dropClient removes the client after a failed call, so that the next call to
-// the address uses a new connection. Open streams continue.
-func (engine *Engine) dropClient(address string, client *http.Client) {
-	engine.mu.Lock()
-	defer engine.mu.Unlock()
-	if engine.clients[address] == client {
-		delete(engine.clients, address)
-	}
-	client.CloseIdleConnections()
-}
-
 // StreamIdleError is the cause of the failure of a stream on which no frame
 // arrived in time. If it lists no stages, all stages responded to the probe, and
 // only the connection counts as dead.
@@ -102,10 +77,8 @@
 		return err
 	}
 	var trace sentTrace
-	client := engine.client(address)
-	response, err := client.Do(trace.attach(request))
+	response, err := engine.http.Do(trace.attach(request))
 	if err != nil {
-		engine.dropClient(address, client)
 		return trace.failure(address, cancelCause(ctx, err))
 	}
 	defer response.Body.Close()
@@ -127,7 +100,6 @@
 			return nil
 		}
 	}
-	engine.dropClient(address, client)
 	return trace.failure(address, cancelCause(ctx, errors.CombineErrors(frames.Err(), io.ErrUnexpectedEOF)))
 }
 
@@ -207,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := engine.client(address).Do(request)
+	response, err := engine.http.Do(request)
 	if err != nil {
 		return err
 	}
@@ -221,5 +193,5 @@
 	if reply == nil {
 		return nil
 	}
-	return json.NewDecoder(response.Body).Decode(reply)
+	return json.NewDecoder(io.LimitReader(response.Body, maxControlReply)).Decode(reply)
 }
--- a/hatchupstream/service.go
+++ b/hatchupstream/service.go
@@ -25,30 +25,19 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Date",
 }
 
-// Service is a client of plain services over HTTP. Each call that must not be
-// repeated uses a new connection: a kept-alive connection may have broken
-// unnoticed, and it would then be unknown whether the request arrived.
+// Service is a client of plain services over HTTP.
 type Service struct {
-	keepAlive   *http.Client
-	noKeepAlive *http.Client
+	http *http.Client
 }
 
 var _ dragonflyhatch.Service = (*Service)(nil)
 
 // NewService returns a client of plain services.
 func NewService() *Service {
-	noKeepAlive := newTransport()
-	noKeepAlive.DisableKeepAlives = true
-	return &Service{keepAlive: noRedirectClient(newTransport()), noKeepAlive: noRedirectClient(noKeepAlive)}
-}
-
-// noRedirectClient returns a client that returns redirects instead of following
-// them.
-func noRedirectClient(transport *http.Transport) *http.Client {
-	return &http.Client{
-		Transport:     transport,
+	return &Service{http: &http.Client{
+		Transport:     newTransport(),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	}}
 }
 
 // Call sends the request to the replica at the address.
@@ -57,12 +46,8 @@
 	if err != nil {
 		return dragonflyhatch.ServiceReply{}, dragonflyhatch.Failf(dragonflyhatch.KindBadRequest, "%v", err)
 	}
-	client := service.keepAlive
-	if call.Key != "" {
-		client = service.noKeepAlive
-	}
 	var trace sentTrace
-	response, err := client.Do(trace.attach(request))
+	response, err := service.http.Do(trace.attach(request))
 	if err != nil {
 		return dragonflyhatch.ServiceReply{}, trace.failure(address, err)
 	}
