Log lines name their daemon; a failed request says its route's class and its attempts

A failed request's line has class, repeatable and failedAttempts, so that a 500 that is passed on says why it was not repeated. TestTimeline covers the merged file.

--- a/hatchaudit/timeline_test.go
+++ b/hatchaudit/timeline_test.go
@@ -45,6 +45,17 @@
 			"17:55:38.960 two: engine is slow address=10.2.64.66:8342 pace=4",
 		})
 	})
+	convey.Convey("In one merged log the daemons are told apart", t, func() {
+		var merged strings.Builder
+		for name, log := range map[string]string{"one/1f": firstLog, "two/2e": secondLog} {
+			merged.WriteString(strings.ReplaceAll(log, `{"time"`, `{"daemon":"`+name+`","time"`))
+		}
+		timeline, err := Timeline("ebdf", []Log{{"merged", strings.NewReader(merged.String())}})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(timeline, convey.ShouldHaveLength, 6)
+		convey.So(timeline[0].String(), convey.ShouldEqual, "17:54:00.000 one/1f: configuration in force changed=[draft: Timeout 1s -> 400ms] version=7")
+		convey.So(timeline[1].String(), convey.ShouldEqual, "17:55:38.150 two/2e: replica unreachable address=10.2.64.65:8342")
+	})
 	convey.Convey("A request that occurs in no log has an empty timeline", t, func() {
 		timeline, err := Timeline("unknown", logs())
 		convey.So(err, convey.ShouldBeNil)
--- a/hatchforward/response.go
+++ b/hatchforward/response.go
@@ -78,6 +78,12 @@
 		if !call.deadline.IsZero() {
 			outcomeLogger = outcomeLogger.With("allowedMS", call.deadline.Sub(call.started).Milliseconds(), "allowedBy", call.deadlineSource)
 		}
+		if call.route != nil {
+			outcomeLogger = outcomeLogger.With("class", call.route.Class.String(), "repeatable", call.route.Repeatable())
+		}
+		if call.attempts != nil {
+			outcomeLogger = outcomeLogger.With("failedAttempts", call.attempts.Count())
+		}
 		outcomeLogger.Warn("request failed", "outcome", outcome)
 		return
 	}
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchaudit"
 	"dragonflyhatch/hatchforward"
 	"dragonflyhatch/hatchmember"
 	"dragonflyhatch/hatchpath"
@@ -69,6 +70,9 @@
 // bodies of requests and responses. Their buffers may be twice as large.
 const bodyMemoryFraction = 8
 
+// loggedProcessLength is the length of the part of a process's name in log lines.
+const loggedProcessLength = 8
+
 // snapshot is an encoded value and its version.
 type snapshot struct {
 	version uint64
@@ -113,11 +117,13 @@
 	for _, option := range options {
 		option(gateway)
 	}
+	process := uuid.NewString()
+	gateway.logger = gateway.logger.With(hatchaudit.DaemonField, settings.Host+"/"+process[:loggedProcessLength])
 	gateway.registrations.logger = gateway.logger
 	gateway.roster = hatchmember.NewRoster(dragonflyhatch.Member{
 		Host:          settings.Host,
 		Site:          settings.Site,
-		Process:       uuid.NewString(),
+		Process:       process,
 		CallerAddress: settings.CallerAddress,
 		PeerAddress:   settings.PeerAddress,
 		MilliCores:    settings.MilliCores,
