--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 	reports         unreachableReports
 	leader          leadership
 
+	earliestRead     time.Time // the store is not read for the first configuration before this time
 	earliestRebuild  time.Time // the view is not rebuilt before this time
 	rebuildScheduled bool      // a timer will rebuild the view at that time
 
@@ -130,6 +132,9 @@
 		Version:       uint64(gateway.timeOfDay().UnixMilli()),
 	})
 	gateway.seeds.Store(&settings.Seeds)
+	if settings.Bootstrap && len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.PeerAddress) {
+		gateway.earliestRead = time.Now().Add(bootstrapDelay + time.Duration(gateway.random.Int64N(int64(bootstrapDelay/2))))
+	}
 	gateway.daemonCount.Store(1)
 	gateway.registerProcessMetrics()
 	gateway.view.Store(hatchpath.NewView(nil, nil, gateway.healths))
--- a/hatchgateway/storefollowers.go
+++ b/hatchgateway/storefollowers.go
@@ -13,6 +13,10 @@
 	// isolationTimeout is how long a daemon may go without gossip from a peer before
 	// it follows the store itself: a few gossip intervals.
 	isolationTimeout = 1500 * time.Millisecond
+	// bootstrapDelay is how long a daemon that is no seed waits for the first
+	// configuration from a peer when all daemons start for the first time, before it
+	// reads the store itself. Half as much again is added at random.
+	bootstrapDelay = time.Second
 	// followCheckInterval is the pause between checks whether to follow the store.
 	followCheckInterval = 200 * time.Millisecond
 )
@@ -22,6 +26,9 @@
 func (gateway *Gateway) shouldFollowStore(now time.Time) bool {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
+	if gateway.routing.version == 0 && now.Before(gateway.earliestRead) {
+		return false
+	}
 	if gateway.routing.version == 0 || gateway.leader.isSelf || now.Sub(gateway.lastPeerContact) > isolationTimeout {
 		return true
 	}
