A version that is announced while an older one is fetched is fetched next

In a storm of configurations a daemon could stay at an older one for as long as gossip's luck had it. Change: the latest peer with newer versions is remembered and asked when the fetch is done. Of several versions in one batch of the store only the last is decoded, and after a fetch that took long the next one waits up to 0.25 s, so that versions in quick succession are fetched together.

--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -121,10 +122,13 @@
 	}
 }
 
+// applyChanges applies only the last of several versions: decoding one takes
+// milliseconds, and versions may come within less than that.
 func (follower routingFollower) applyChanges(changes []dragonflyhatch.Change, _ uint64) {
-	for _, change := range changes {
-		if !change.Deleted {
+	for _, change := range slices.Backward(changes) {
+		if !change.Deleted && change.Object.Name == platform.RoutingName {
 			follower.applyObject(change.Object)
+			return
 		}
 	}
 }
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -44,9 +44,10 @@
 	daemonCount atomic.Int32
 	stopping    atomic.Bool
 
-	pushToAll         atomic.Bool // the next push goes to all neighbours
-	pushToLeader      atomic.Bool // the next push goes to the leader too
-	fetchingSnapshots atomic.Bool // snapshots are being fetched from a peer
+	pushToAll         atomic.Bool                           // the next push goes to all neighbours
+	pushToLeader      atomic.Bool                           // the next push goes to the leader too
+	fetchingSnapshots atomic.Bool                           // snapshots are being fetched from a peer
+	newerPeer         atomic.Pointer[dragonflyhatch.Gossip] // from the latest peer with newer versions, until snapshots are fetched from it
 	seeds             atomic.Pointer[[]string]
 	tableLoaded       chan struct{} // closed when the first table is in force
 	pushRequests      chan struct{} // holds an item while a push to peers is due
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -31,6 +31,11 @@
 	// snapshot, so that further changes are fetched together. It is far below the
 	// time within which a drain must take effect.
 	largeSnapshotPause = 500 * time.Millisecond
+	// configurationPauseFactor is the pause after a configuration was fetched from a
+	// peer, as a multiple of the time that it took, up to maxConfigurationPause, which is
+	// far below the time within which a configuration must take effect.
+	configurationPauseFactor = 5
+	maxConfigurationPause    = 250 * time.Millisecond
 	// snapshotDelay is how long a daemon waits before it fetches newer replicas from
 	// a peer, as its own watch on the store usually delivers them meanwhile.
 	snapshotDelay = 250 * time.Millisecond
@@ -200,11 +205,21 @@
 	for _, address := range gossip.LostReplicas {
 		gateway.forwarder.RecheckReplica(address)
 	}
-	if gateway.isBehind(gossip) && gateway.fetchingSnapshots.CompareAndSwap(false, true) {
-		go func() {
-			defer gateway.fetchingSnapshots.Store(false)
-			gateway.fetchSnapshots(context.Background(), gossip)
-		}()
+	if gateway.isBehind(gossip) {
+		gateway.newerPeer.Store(&gossip)
+		go gateway.fetchNewer()
+	}
+}
+
+// fetchNewer fetches from the latest peer that has newer versions, until this daemon is
+// no longer behind it, unless another call does so already. A peer that is found newer
+// meanwhile is not forgotten.
+func (gateway *Gateway) fetchNewer() {
+	for gateway.newerPeer.Load() != nil && gateway.fetchingSnapshots.CompareAndSwap(false, true) {
+		if peer := gateway.newerPeer.Swap(nil); peer != nil && gateway.isBehind(*peer) {
+			gateway.fetchSnapshots(context.Background(), *peer)
+		}
+		gateway.fetchingSnapshots.Store(false)
 	}
 }
 
@@ -290,12 +305,15 @@
 func (gateway *Gateway) fetchSnapshots(ctx context.Context, peer dragonflyhatch.Gossip) {
 	local := gateway.versions()
 	if peer.RoutingVersion > local.RoutingVersion {
+		started := time.Now()
 		_, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotRouting)
 		if err != nil {
 			gateway.logger.Warn("fetching configuration from peer failed", "host", peer.From.Host, "error", err)
 			return
 		}
 		gateway.applyRouting(value, peer.From.Host)
+		// Versions that follow in quick succession are fetched together.
+		gateway.pause(ctx, min(configurationPauseFactor*time.Since(started), maxConfigurationPause))
 	}
 	if peer.ReplicasVersion <= local.ReplicasVersion {
 		return
