--- a/hatchgateway/follow_test.go
+++ b/hatchgateway/follow_test.go
@@ -22,8 +22,10 @@
 	version int
 }
 
-func (*versionedPeer) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip { return gossip }
-func (*versionedPeer) GrantRetryTokens(string, int) int                                  { return 0 }
+func (*versionedPeer) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip {
+	return gossip
+}
+func (*versionedPeer) GrantRetryTokens(string, int) int { return 0 }
 
 func (peer *versionedPeer) Snapshot(dragonflyhatch.SnapshotKind) (uint64, []byte) {
 	peer.mu.Lock()
