--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -126,6 +126,7 @@
 	case err != nil:
 		node.RecordResponse(now, now.Sub(started), true)
 	case !replicaResponse.info.NotRun:
+		node.RecordAccepted()
 		node.RecordResponse(now, now.Sub(started), replicaResponse.status >= http.StatusInternalServerError)
 	}
 	return plainResult{node, replicaResponse, err}
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -135,6 +135,9 @@
 	watch.recordStageProgress(now)
 	if !watch.dataReceived {
 		watch.dataReceived = true
+		for _, node := range watch.pipeline.Nodes {
+			node.RecordAccepted()
+		}
 		watch.firstEvent()
 		watch.pipeline.Nodes[0].RecordFirstEvent(now, now.Sub(watch.lastProgress))
 	} else {
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -12,8 +12,12 @@
 
 const (
 	// fullBackoff is how long a replica that refused a request for lack of capacity
-	// is excluded: about the time in which some of its running requests finish.
-	fullBackoff = 150 * time.Millisecond
+	// is excluded: about the time in which some of its running requests finish. It
+	// doubles with each further refusal, up to maxFullBackoff, until the replica takes a
+	// request: a stage that drains refuses in the same way, and its registration may say
+	// so only seconds later.
+	fullBackoff    = 150 * time.Millisecond
+	maxFullBackoff = 2400 * time.Millisecond
 	// staleRegistrationBackoff is how long a replica whose registration is out of
 	// date is excluded: replicas renew their registrations about that often.
 	staleRegistrationBackoff = 1200 * time.Millisecond
@@ -39,6 +43,7 @@
 	tokens            atomic.Int64 // of the requests in flight
 	downUntil         atomic.Int64 // excluded until then, as unreachable or because its registration is out of date
 	fullUntil         atomic.Int64 // excluded for lack of capacity until then
+	refusals          atomic.Int64 // for lack of capacity since the replica last took a request
 	pausedUntil       atomic.Int64 // wants no request until then, as it stated when it refused one
 	leavingSince      atomic.Int64 // when it first stated that it is leaving, or 0
 	lastSeen          atomic.Int64 // last time the replica showed that it is alive
@@ -330,9 +335,22 @@
 	extendExclusion(&health.downUntil, now, staleRegistrationBackoff)
 }
 
-// MarkFull records that the replica refused a request for lack of capacity.
+// MarkFull records that the replica refused a request for lack of capacity. Refusals
+// while it is excluded already are those of requests that were sent before.
 func (health *Health) MarkFull(now time.Time) {
-	extendExclusion(&health.fullUntil, now, fullBackoff)
+	if health.IsFull(now) {
+		return
+	}
+	backoff := fullBackoff
+	for range min(health.refusals.Add(1)-1, 8) {
+		backoff *= 2
+	}
+	extendExclusion(&health.fullUntil, now, min(backoff, maxFullBackoff))
+}
+
+// RecordAccepted records that the replica took a new request.
+func (health *Health) RecordAccepted() {
+	health.refusals.Store(0)
 }
 
 // extendExclusion excludes a replica for the duration from now on, unless it is
