A daemon that has just started does not take the lease from one that has just taken it

Change: the lease of an unknown holder is taken only once it has been read unchanged for 0.6 s. A holder whose host is known to have another process is replaced at once, as before.

--- a/hatchgateway/leader.go
+++ b/hatchgateway/leader.go
@@ -17,6 +17,10 @@
 	// rankDelay staggers the candidates for a vacant lease: one of rank r waits for
 	// (r+1)*rankDelay before it takes the lease, so that rank 0 comes first.
 	rankDelay = 500 * time.Millisecond
+	// unknownHolderWait is how long the lease of a process that this daemon does not
+	// know must be unchanged before this daemon takes it. When all daemons start at the
+	// same time, each of them would otherwise take it from the one before.
+	unknownHolderWait = 600 * time.Millisecond
 	// leaderCheckInterval is the pause between checks for a leader.
 	leaderCheckInterval = 200 * time.Millisecond
 )
@@ -34,6 +38,9 @@
 	term        uint64
 	isSelf      bool      // this process acquired the lease in the term
 	vacantSince time.Time // since when no serving leader is known; zero if one is
+
+	unknownTerm  uint64    // term of a lease whose holder is not known
+	unknownSince time.Time // when that term was first read
 }
 
 // mergeLeader applies a leader and its term if the term is newer; the mutex must be
@@ -63,7 +70,7 @@
 	for ctx.Err() == nil {
 		gateway.pause(ctx, leaderCheckInterval)
 		if gateway.shouldTakeLease(time.Now()) {
-			if err := gateway.acquireLease(ctx); err != nil {
+			if err := gateway.acquireLease(ctx, time.Now()); err != nil {
 				gateway.logger.Warn("acquiring lease failed", "error", err)
 				gateway.pause(ctx, rankDelay)
 			}
@@ -92,7 +99,7 @@
 // acquireLease makes this daemon the leader by a conditional write, unless the
 // lease names a leader to follow. If an earlier write succeeded but its reply was
 // lost, the read at the start finds that this process holds the lease already.
-func (gateway *Gateway) acquireLease(ctx context.Context) error {
+func (gateway *Gateway) acquireLease(ctx context.Context, now time.Time) error {
 	gateway.mu.Lock()
 	self := gateway.roster.Self()
 	known := gateway.leader.term
@@ -112,7 +119,7 @@
 		gateway.becomeLeader(object.Version)
 		return nil
 	}
-	if !missing && gateway.adoptHolder(holder, object.Version, known) {
+	if !missing && (gateway.adoptHolder(holder, object.Version, known) || gateway.awaitUnknownHolder(holder, object.Version, known, now)) {
 		return nil
 	}
 	value, err := json.Marshal(lease{Host: self.Host, Process: self.Process})
@@ -146,6 +153,22 @@
 	return true
 }
 
+// awaitUnknownHolder reports whether the holder of the lease is to be given more time,
+// because this daemon knows neither a leader nor the holder's host, and has not seen the
+// term unchanged for unknownHolderWait.
+func (gateway *Gateway) awaitUnknownHolder(holder lease, term, known uint64, now time.Time) bool {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	if _, isMember := gateway.roster.Member(holder.Host); known != 0 || isMember || holder.Host == gateway.settings.Host {
+		return false
+	}
+	leader := &gateway.leader
+	if leader.unknownTerm != term {
+		leader.unknownTerm, leader.unknownSince = term, now
+	}
+	return now.Sub(leader.unknownSince) < unknownHolderWait
+}
+
 // becomeLeader records that this daemon acquired the lease, unless a leader of a
 // newer term is known.
 func (gateway *Gateway) becomeLeader(term uint64) {
