--- a/hatchforward/admission.go
+++ b/hatchforward/admission.go
@@ -12,8 +12,7 @@
 const defaultRunTime = 4 * time.Second
 
 // checkAdmission returns a refusal for some of the new streams if they are expected to
-// wait at the head, and otherwise nil. Streams that have been admitted are
-// not refused later.
+// wait at the head, and otherwise nil. A stream that was admitted is not refused later.
 func (stream *stream) checkAdmission(head *hatchpath.Node) error {
 	if stream.service.Model == nil || stream.headersSent || stream.attempts.Count() > 0 || stream.resumeAfter != "" {
 		return nil
