--- a/hatchstandin/platform.go
+++ b/hatchstandin/platform.go
@@ -406,7 +406,7 @@
 	if host.Leaving {
 		state = "draining"
 	}
-	spec, err := json.Marshal(map[string]any{"service": "listed", "address": host.Address, "state": state})
+	spec, err := json.Marshal(map[string]any{"service": "listed", "address": host.Address, "zone": "listed", "state": state})
 	if err != nil { // not reached: encoding strings does not fail
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
