--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -33,16 +33,11 @@
 }
 
 const (
-	// recentChangeTTL is how long a change is sent to peers as an update: several rounds
-	// of gossip with each neighbour. A peer that has missed it fetches the snapshot of all
-	// replicas.
-	recentChangeTTL = 6 * time.Second
-	// maxRecentChanges bounds the changes in one gossip message. While thousands of
-	// replicas load layers, a neighbour misses a few hundred between two messages; they
-	// take less than the snapshot of all.
-	maxRecentChanges = 512
-	// maxBlindChanges bounds the changes in a message to a peer of unknown version.
-	maxBlindChanges = 24
+	// recentChangeTTL is how long a change is sent to peers as an update: a few gossip
+	// intervals. A peer that has missed it fetches the snapshot of all replicas.
+	recentChangeTTL = 2 * time.Second
+	// maxRecentChanges bounds the changes in one gossip message.
+	maxRecentChanges = 24
 )
 
 func newReplicaSet() replicaSet {
@@ -95,25 +90,16 @@
 }
 
 // recentUpdates returns the recent changes after the version that the peer is known to
-// have, or the last few if that is not known (0), and the version that the peer needs in
-// order to apply them. It returns none for a peer that has missed older ones.
+// have, and the version that the peer needs in order to apply them.
 func (set *replicaSet) recentUpdates(now time.Time, peerVersion uint64) ([]dragonflyhatch.ReplicaChange, uint64) {
 	set.trimRecent(now)
-	recent, base := set.recent, max(set.recentBase, peerVersion)
-	switch {
-	case peerVersion == 0 && len(recent) > maxBlindChanges:
-		skipped := len(recent) - maxBlindChanges
-		recent, base = recent[skipped:], recent[skipped-1].Replica.Revision
-	case peerVersion > 0 && peerVersion < set.recentBase:
-		return nil, 0
-	}
 	var changes []dragonflyhatch.ReplicaChange
-	for _, change := range recent {
+	for _, change := range set.recent {
 		if change.Replica.Revision > peerVersion {
 			changes = append(changes, change.ReplicaChange)
 		}
 	}
-	return changes, base
+	return changes, max(set.recentBase, peerVersion)
 }
 
 // applyUpdates applies a peer's recent changes if all changes up to the base version
