--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -181,6 +181,17 @@
 			convey.So(one.runsOf("second"), convey.ShouldEqual, 1)
 		})
 	})
+	convey.Convey("A stream stays queued there although another engine is free, whose first events were later", t, func() {
+		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
+		one.setDelayedStream(maxSilence + 300*time.Millisecond)
+		two.setStream(endsComplete, 0)
+		fleet := newFleet("lm", one, two)
+		fleet.view.NodeAt(one.address()).RecordFirstEvent(time.Now(), 700*time.Millisecond)
+		fleet.view.NodeAt(two.address()).RecordFirstEvent(time.Now(), 3*time.Second)
+		convey.So(sendRequest(newServer(t, fleet), "POST", "/stream/", "third").body, convey.ShouldEqual, expectedStream(0))
+		convey.So(one.runsOf("third"), convey.ShouldEqual, 1)
+		convey.So(two.runsOf("third"), convey.ShouldEqual, 0)
+	})
 	convey.Convey("A late first event moves the stream to another engine if earlier ones were not late", t, func() {
 		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
 		one.setDelayedStream(maxSilence + 300*time.Millisecond)
