A failed attempt at a stream is logged with its events, terminated replicas and prompt parts

Requests now carry the ids of the shared parts of their prompt, a replica whose address refuses connections is marked as terminated, and the log line of a failed attempt has all three. No decision changes. Tests of platform, hatchforward and hatchpath pass.

--- a/gateway.go
+++ b/gateway.go
@@ -161,14 +161,18 @@
 	SendLayerCommand(ctx context.Context, replica Replica, command LayerCommand) (CommandOutcome, error)
 }
 
+// MaxSharedParts bounds the shared parts of a prompt that the router considers.
+const MaxSharedParts = 16
+
 // RequestInfo is the information in the headers of a caller's request.
 type RequestInfo struct {
 	ID           string        // of the caller's attempt
 	TimeLeft     time.Duration // how long the caller will wait; 0 if not given
 	Key          string        // API key of the caller's organisation
 	PromptTokens int
-	OutputTokens int    // maximum
-	ResumeAfter  string // id of the last event that the caller received; empty for a new stream
+	OutputTokens int      // maximum
+	SharedParts  []string // ids of the prompt's parts that other requests may have too, at most MaxSharedParts
+	ResumeAfter  string   // id of the last event that the caller received; empty for a new stream
 }
 
 // Attempt is the information that the router adds to a request that it sends to a
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -4,8 +4,11 @@
 	"context"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dragonflyhatch"
 	"dragonflyhatch/hatchpath"
 )
@@ -122,6 +125,9 @@
 	switch {
 	case ctx.Err() != nil: // canceled; shows nothing about the replica
 	case err != nil && dragonflyhatch.KindOf(err) == dragonflyhatch.KindUpstreamUnavailable:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			node.MarkTerminated()
+		}
 		call.forwarder.prober.markUnreachable(node)
 	case err != nil:
 		node.RecordResponse(now, now.Sub(started), true)
@@ -216,10 +222,10 @@
 	return call.attempts.HandleFailure(now, failure, culprits, call)
 }
 
-// recordFailure counts and logs a failed attempt.
-func (call *call) recordFailure(now time.Time, failure *dragonflyhatch.Failure, culprits []string) {
+// recordFailure counts and logs a failed attempt, with further fields for the log.
+func (call *call) recordFailure(now time.Time, failure *dragonflyhatch.Failure, culprits []string, fields ...any) {
 	call.forwarder.metricSet.recordFailedAttempt(failure.Kind)
-	call.logger.Info("attempt failed", "reason", failure.Error(), "culprits", culprits, "elapsed", now.Sub(call.started))
+	call.logger.With(fields...).Info("attempt failed", "reason", failure.Error(), "culprits", culprits, "elapsed", now.Sub(call.started))
 }
 
 // respondWithFailure responds after the last attempt: with a replica's own error
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -182,6 +182,9 @@
 			node.MarkReachable(time.Now())
 		case outcomes[i] == probeRefused, outcomes[i] == probeSilent && conclusive:
 			culprits = append(culprits, node.Address)
+			if outcomes[i] == probeRefused {
+				node.MarkTerminated()
+			}
 			prober.markUnreachable(node)
 		}
 	}
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -41,6 +41,7 @@
 	resumeAfter string    // id of the last event that the caller has received, also from earlier requests
 	flusher     http.Flusher
 	prepaid     bool // the watch has spent the retry token of the next attempt
+	events      int  // reads with events of the latest attempt
 }
 
 // Spend takes one retry token, unless the watch has done so already.
@@ -95,10 +96,22 @@
 	if !stream.route.Repeatable() {
 		return stream.handleFailure(now, failure, culprits...)
 	}
-	stream.recordFailure(now, failure, culprits)
+	stream.recordFailure(now, failure, culprits,
+		"events", stream.events, "terminated", terminatedAddresses(pipeline, culprits), "promptParts", stream.info.SharedParts)
 	return stream.attempts.HandleReplicaFailure(now, failure, pipeline.Nodes[0].Address, culprits, stream)
 }
 
+// terminatedAddresses returns those of the culprits whose processes have terminated.
+func terminatedAddresses(pipeline *hatchpath.Pipeline, culprits []string) []string {
+	var terminated []string
+	for _, node := range pipeline.Nodes {
+		if node.HasTerminated() && slices.Contains(culprits, node.Address) {
+			terminated = append(terminated, node.Address)
+		}
+	}
+	return terminated
+}
+
 // awaitPipeline returns a pipeline. If there is none, it waits for one for up to
 // pipelineWait, but not for engines that have refused requests for longer.
 func (stream *stream) awaitPipeline() (*hatchpath.Pipeline, error) {
@@ -178,6 +191,7 @@
 	defer pipeline.End()
 	watch := stream.newWatch(pipeline, cancel)
 	defer watch.stop()
+	stream.events = 0
 
 	head := pipeline.Nodes[0]
 	replicaExchange, err := openExchange(ctx, stream.outgoingRequest(head.Address, dragonflyhatch.Attempt{
@@ -315,7 +329,11 @@
 		watch.startWaiting()
 		count, err := body.Read(buffer)
 		events, id, eventErr := splitter.add(buffer[:count])
-		watch.recordRead(carryData(events))
+		progress := carryData(events)
+		watch.recordRead(progress)
+		if progress {
+			stream.events++
+		}
 		if eventErr != nil {
 			return eventErr
 		}
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -48,6 +48,7 @@
 	leavingSince      atomic.Int64 // when it first stated that it is leaving, or 0
 	lastSeen          atomic.Int64 // last time the replica showed that it is alive
 	downSince         atomic.Int64 // 0 unless the replica is unreachable
+	terminated        atomic.Bool  // unreachable because its address refuses connections
 	nextProbe         atomic.Int64 // earliest time of the next probe
 	probeInterval     atomic.Int64 // nanoseconds; doubles with each probe until the replica makes progress
 	slowdown          atomic.Pointer[timedSlowdown]
@@ -274,6 +275,7 @@
 	health.lastSeen.Store(monotonicNanos(now))
 	health.downUntil.Store(0)
 	health.downSince.Store(0)
+	health.terminated.Store(false)
 }
 
 // RecordProgress records that the replica made progress on a request, so that there is
@@ -329,6 +331,17 @@
 	return health.downSince.CompareAndSwap(0, monotonicNanos(now))
 }
 
+// MarkTerminated records that the replica's address refuses connections, so that its
+// process has terminated rather than its host or the network.
+func (health *Health) MarkTerminated() {
+	health.terminated.Store(true)
+}
+
+// HasTerminated reports whether the replica's process was found to have terminated.
+func (health *Health) HasTerminated() bool {
+	return health.terminated.Load()
+}
+
 // MarkRegistrationStale records that the registration is out of date: the replica does
 // not hold the layers that it registered, or another process has its address.
 func (health *Health) MarkRegistrationStale(now time.Time) {
