--- /dev/null
+++ b/hatchforward/quarantine_test.go
@@ -0,0 +1,56 @@
+package hatchforward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// deadlyPart is the part of a prompt at which the replicas of setDeadlyPart terminate.
+const deadlyPart = "dead"
+
+// setDeadlyPart makes the replica terminate at requests whose prompt has the deadly
+// part, and stream all events of others.
+func (replica *fakeReplica) setDeadlyPart(terminated *atomic.Int32) {
+	replica.setStream(endsComplete, 0)
+	replica.mu.Lock()
+	defer replica.mu.Unlock()
+	stream := replica.stream
+	replica.stream = func(conn net.Conn, request *http.Request) {
+		if !strings.Contains(request.Header.Get("Prompt-Prefix"), deadlyPart) {
+			stream(conn, request)
+			return
+		}
+		terminated.Add(1)
+		replica.listener.Close()
+		reset(conn)
+	}
+}
+
+// TestQueryOfDeath guards against requests with a common part that terminate one replica after the other.
+func TestQueryOfDeath(t *testing.T) {
+	convey.Convey("Of six replicas at most three terminate, and requests without the part are served", t, func() {
+		var terminated atomic.Int32
+		var replicas []*fakeReplica
+		for i := range 6 {
+			replica := newFakeReplica(t, fmt.Sprintf("replica-%d", i))
+			replica.setDeadlyPart(&terminated)
+			replicas = append(replicas, replica)
+		}
+		server := newServer(t, newFleet("lm", replicas...))
+		for i := range 10 {
+			sendRequest(server, "POST", "/stream/", fmt.Sprint("deadly-", i), "Prompt-Prefix", fmt.Sprintf("common:40,%s:165,own%d:600", deadlyPart, i))
+			got := sendRequest(server, "POST", "/stream/", fmt.Sprint("sound-", i), "Prompt-Prefix", fmt.Sprintf("common:40,own%d:700", i))
+			convey.So(got.status, convey.ShouldEqual, http.StatusOK)
+			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
+			time.Sleep(20 * time.Millisecond)
+		}
+		convey.So(terminated.Load(), convey.ShouldBeLessThanOrEqualTo, 3)
+	})
+}
