A part of a prompt at which replicas terminate is held back by the whole fleet

Cause: nothing joined what single daemons saw, and a request whose replica had terminated was sent to the next one at once. Class of fault: a query of death.

Change: hatchquarantine keeps the evidence for each part (terminations of heads before an answer, later answers) and decides: delay and try one at a time after one termination, refuse after two, trials at growing intervals. Gossip joins it with ages, so that clocks do not matter; answers anywhere clear a part everywhere; a termination that a more suspected part explains does not count; organisations cannot blame each other's parts; tables and messages are bounded. A request under which two replicas terminated is not sent again. Attempts that still wait at a head are abandoned when their prompt is held back. New kind promptHeldBack (503, not run).

Ruled out: limits on repeats alone (15 of 21 terminations were first attempts), callers or the first part as the unit (sound requests share both).

Tests of the changed packages pass with the race detector.

--- a/enums_string.go
+++ b/enums_string.go
@@ -33,12 +33,13 @@
 	_ = x[KindLeaving-22]
 	_ = x[KindConflict-23]
 	_ = x[KindConfigurationInvalid-24]
-	_ = x[kindCount-25]
+	_ = x[KindPromptHeldBack-25]
+	_ = x[kindCount-26]
 }
 
-const _Kind_name = "internalbadRequestunauthorizednotFoundmethodNotAllowedrequestTooLargeheadersTooLargerequestTimeoutkeyMissingkeyInvalidkeyReusedkeyForgottenoverloadeddeadlineTooShortdeadlineNotRundeadlineUnknownupstreamUnavailableupstreamRefusedupstreamLostplatformUnavailableoutcomeUnknownnotReadyleavingconflictconfigurationInvalidkindCount"
+const _Kind_name = "internalbadRequestunauthorizednotFoundmethodNotAllowedrequestTooLargeheadersTooLargerequestTimeoutkeyMissingkeyInvalidkeyReusedkeyForgottenoverloadeddeadlineTooShortdeadlineNotRundeadlineUnknownupstreamUnavailableupstreamRefusedupstreamLostplatformUnavailableoutcomeUnknownnotReadyleavingconflictconfigurationInvalidpromptHeldBackkindCount"
 
-var _Kind_index = [...]uint16{0, 8, 18, 30, 38, 54, 69, 84, 98, 108, 118, 127, 139, 149, 165, 179, 194, 213, 228, 240, 259, 273, 281, 288, 296, 316, 325}
+var _Kind_index = [...]uint16{0, 8, 18, 30, 38, 54, 69, 84, 98, 108, 118, 127, 139, 149, 165, 179, 194, 213, 228, 240, 259, 273, 281, 288, 296, 316, 330, 339}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/fleet.go
+++ b/fleet.go
@@ -26,6 +26,7 @@
 	LostReplicas       []string         // addresses that do not answer the sender
 	QueueWaits         []QueueWait      // of engines, as observed lately by any daemon
 	LeavingReplicas    []ReplicaProcess // processes that stated in a response that they are leaving
+	SuspectParts       []SuspectPart    // parts of prompts suspected of terminating replicas
 	RoutingVersion     uint64
 	ReplicasVersion    uint64
 	ReplicaUpdates     []ReplicaChange // the most recent changes, oldest first
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -15,6 +15,7 @@
 
 	"dragonflyhatch"
 	"dragonflyhatch/hatchpath"
+	"dragonflyhatch/hatchquarantine"
 	"dragonflyhatch/hatchretry"
 	"dragonflyhatch/hatchroute"
 )
@@ -40,6 +41,11 @@
 	ReportUnreachable(replica dragonflyhatch.Replica)
 	// ReportLeaving is called when a replica first states that it is leaving.
 	ReportLeaving(replica dragonflyhatch.Replica)
+	// TrialRank returns the position of this daemon, from 0, among those that may send
+	// a request with the suspected part as a trial, or a negative number if it may not.
+	TrialRank(part dragonflyhatch.PromptPart) int
+	// ReportSuspects is called when the evidence on suspected parts has changed.
+	ReportSuspects()
 }
 
 // Forwarder is the HTTP handler that serves callers' requests.
@@ -55,6 +61,7 @@
 	pipelineWait time.Duration
 	engines      dragonflyhatch.EngineControl // for slowdown reports; nil if none are requested
 	memory       *bodyMemory
+	quarantine   *hatchquarantine.Table
 
 	mu          sync.Mutex
 	budgets     map[string]*serviceBudget // by service
@@ -110,6 +117,7 @@
 		runTimes:     make(map[string]time.Duration),
 		pipelineWait: defaultPipelineWait,
 		memory:       newBodyMemory(defaultBodyMemory),
+		quarantine:   hatchquarantine.New(),
 	}
 	for _, option := range options {
 		option(forwarder)
--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -16,6 +16,8 @@
 	resumes     metrics.Counter
 	stalls      metrics.Counter
 	longPauses  metrics.Counter
+	heldBack    metrics.Counter
+	trials      metrics.Counter
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -33,6 +35,8 @@
 		resumes:     metrics.GetOrRegisterCounter("streams.resumed", registry),
 		stalls:      metrics.GetOrRegisterCounter("streams.stalled", registry),
 		longPauses:  metrics.GetOrRegisterCounter("streams.pausedTooLong", registry),
+		heldBack:    metrics.GetOrRegisterCounter("quarantine.refused", registry),
+		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
 	}
 }
 
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -229,6 +229,9 @@
 
 func (fleet *fakeFleet) ReportUnreachable(dragonflyhatch.Replica) {}
 
+func (fleet *fakeFleet) TrialRank(dragonflyhatch.PromptPart) int { return 0 }
+func (fleet *fakeFleet) ReportSuspects()                         {}
+
 func (fleet *fakeFleet) ReportLeaving(dragonflyhatch.Replica) { fleet.leavingReports.Add(1) }
 
 const (
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -42,6 +42,9 @@
 	flusher     http.Flusher
 	prepaid     bool // the watch has spent the retry token of the next attempt
 	events      int  // reads with events of the latest attempt
+	trial       bool // the attempt is a trial of a suspected part
+
+	terminations int // that counted against a part of the prompt when the attempt began
 }
 
 // Spend takes one retry token, unless the watch has done so already.
@@ -59,6 +62,10 @@
 	stream := &stream{call: call, resumeAfter: call.info.ResumeAfter}
 	stream.flusher, _ = call.writer.(http.Flusher)
 	for {
+		if err := stream.awaitClearance(); err != nil {
+			stream.endWithFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err)))
+			return
+		}
 		pipeline, err := stream.awaitPipeline()
 		if err != nil {
 			stream.endWithFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err)))
@@ -69,7 +76,11 @@
 			stream.refuse(err)
 			return
 		}
+		if !stream.beginAttempt() {
+			continue
+		}
 		failure, culprits := stream.runAttempt(pipeline)
+		stream.endAttempt()
 		stream.logger.Debug("stream attempt ended", "stages", pipeline.Stages, "resumed", stream.headersSent, "failure", failure)
 		if failure == nil {
 			return
@@ -93,11 +104,13 @@
 // if another one is to follow, and otherwise the failure to report to the caller.
 func (stream *stream) handlePipelineFailure(pipeline *hatchpath.Pipeline, failure *dragonflyhatch.Failure, culprits []string) error {
 	now := time.Now()
+	terminated := terminatedAddresses(pipeline, culprits)
+	stream.recordTermination(pipeline, failure, terminated)
 	if !stream.route.Repeatable() {
 		return stream.handleFailure(now, failure, culprits...)
 	}
 	stream.recordFailure(now, failure, culprits,
-		"events", stream.events, "terminated", terminatedAddresses(pipeline, culprits), "promptParts", stream.info.SharedParts)
+		"events", stream.events, "terminated", terminated, "promptParts", stream.info.SharedParts)
 	return stream.attempts.HandleReplicaFailure(now, failure, pipeline.Nodes[0].Address, culprits, stream)
 }
 
@@ -334,6 +347,9 @@
 		if progress {
 			stream.events++
 		}
+		if progress && stream.events == answeredEvents {
+			stream.recordAnswer()
+		}
 		if eventErr != nil {
 			return eventErr
 		}
@@ -361,6 +377,9 @@
 	if err := stream.writeEvents(replicaExchange, nil, ""); err != nil { // sends the headers if there were no events
 		return err
 	}
+	if stream.events < answeredEvents {
+		stream.recordAnswer()
+	}
 	stream.recordOutcome(http.StatusOK, "answered")
 	return nil
 }
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -75,13 +75,17 @@
 	reason       string   // why the attempt was abandoned, or empty
 	firstEvent   func()   // records that the stream no longer waits for its first event
 	prepaid      bool     // the retry token of the next attempt is spent
+	terminations int      // that counted against a part of the prompt when the attempt began
 }
 
 // newWatch starts a watch of an attempt at the pipeline. The watch calls cancel to
 // abandon the attempt.
 func (stream *stream) newWatch(pipeline *hatchpath.Pipeline, cancel context.CancelFunc) *watch {
 	now := time.Now()
-	watch := &watch{stream: stream, pipeline: pipeline, cancel: cancel, attempts: stream.attempts.Clone(), lastProgress: now, silentSince: now, checkDelay: firstCheckDelay}
+	watch := &watch{
+		stream: stream, pipeline: pipeline, cancel: cancel, attempts: stream.attempts.Clone(), terminations: stream.terminations,
+		lastProgress: now, silentSince: now, checkDelay: firstCheckDelay,
+	}
 	watch.firstEvent = pipeline.Nodes[0].AwaitFirstEvent(now)
 	watch.mu.Lock() // the timer may fire before watch.timer is set
 	watch.timer = time.AfterFunc(watch.checkDelay, watch.check)
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -17,6 +17,7 @@
 	"dragonflyhatch/hatchmember"
 	"dragonflyhatch/hatchpath"
 	"dragonflyhatch/hatchpeer"
+	"dragonflyhatch/hatchquarantine"
 	"dragonflyhatch/hatchretry"
 	"dragonflyhatch/hatchroute"
 	"dragonflyhatch/platform"
@@ -39,6 +40,7 @@
 
 	forwarder   *hatchforward.Forwarder
 	healths     *hatchpath.HealthSet
+	quarantine  *hatchquarantine.Table
 	table       atomic.Pointer[hatchroute.Table]
 	view        atomic.Pointer[hatchpath.View]
 	daemonCount atomic.Int32
@@ -108,6 +110,7 @@
 		engines:      platform.NewEngineClient(),
 		peers:        hatchpeer.NewFleetClient(gossipTimeout),
 		healths:      hatchpath.NewHealthSet(),
+		quarantine:   hatchquarantine.New(),
 		tableLoaded:  make(chan struct{}),
 		pushRequests: make(chan struct{}, 1),
 
@@ -145,6 +148,7 @@
 		hatchforward.WithSite(settings.Site),
 		hatchforward.WithMetrics(registry),
 		hatchforward.WithEngineReports(gateway.engines),
+		hatchforward.WithQuarantine(gateway.quarantine),
 		hatchforward.WithBodyMemory(int64(settings.MemoryMB)<<20/bodyMemoryFraction),
 		hatchforward.WithRetryLimits(hatchretry.SharedLimits{
 			Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow,
@@ -188,6 +192,19 @@
 	gateway.requestPush()
 }
 
+// TrialRank returns the position of this daemon among those that may send a request with
+// the suspected part as a trial, or a negative number if it is leaving.
+func (gateway *Gateway) TrialRank(part dragonflyhatch.PromptPart) int {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	return gateway.roster.Rank("trial/" + part.Service + "/" + part.ID)
+}
+
+// ReportSuspects sends the evidence on suspected parts of prompts to peers.
+func (gateway *Gateway) ReportSuspects() {
+	gateway.requestPush()
+}
+
 // ReportUnreachable logs that a replica was found unreachable and reports it to peers.
 func (gateway *Gateway) ReportUnreachable(replica dragonflyhatch.Replica) {
 	gateway.pushToLeader.Store(true)
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -25,6 +25,8 @@
 	maxUnreachableSent = 32
 	// maxLeavingSent bounds the leaving replicas in one gossip message.
 	maxLeavingSent = 32
+	// maxSuspectsSent bounds the suspected parts of prompts in one gossip message.
+	maxSuspectsSent = 32
 	// maxWaitsSent bounds the waits of engines in one gossip message.
 	maxWaitsSent = 16
 	// largeSnapshotPause is the pause after a daemon has fetched a large replica
@@ -152,6 +154,7 @@
 	gossip.LostReplicas = gateway.View().UnreachableAddresses(now, maxUnreachableSent)
 	gossip.QueueWaits = gateway.View().QueueWaits(now, maxWaitsSent)
 	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
+	gossip.SuspectParts = gateway.quarantine.Snapshot(now, maxSuspectsSent)
 	return gossip
 }
 
@@ -192,6 +195,7 @@
 	gateway.mu.Unlock()
 
 	gateway.recordQueueWaits(now, gossip.QueueWaits)
+	gateway.forwarder.MergeSuspects(gossip.SuspectParts)
 	leavingFound := false
 	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
 		leavingFound = gateway.healths.GetProcess(process).MarkLeaving(now) || leavingFound
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -158,6 +159,9 @@
 			Address: wait.Address, WaitMs: uint32(wait.Wait.Milliseconds()), AgeMs: uint32(wait.Age.Milliseconds()),
 		})
 	}
+	for _, suspect := range gossip.SuspectParts {
+		message.SuspectParts = append(message.SuspectParts, encodeSuspect(suspect))
+	}
 	if len(gossip.ReplicaUpdates) > 0 {
 		changes, err := json.Marshal(gossip.ReplicaUpdates)
 		if err == nil { // err is nil for plain structs; without changes the peer would fetch a snapshot
@@ -189,12 +193,57 @@
 			Address: wait.GetAddress(), Wait: time.Duration(wait.GetWaitMs()) * time.Millisecond, Age: time.Duration(wait.GetAgeMs()) * time.Millisecond,
 		})
 	}
+	for _, suspect := range message.GetSuspectParts() {
+		gossip.SuspectParts = append(gossip.SuspectParts, decodeSuspect(suspect))
+	}
 	if changes := message.GetReplicaNews(); len(changes) > 0 && json.Unmarshal(changes, &gossip.ReplicaUpdates) == nil {
 		gossip.ReplicaUpdatesFrom = message.GetReplicaNewsFrom()
 	}
 	return gossip
 }
 
+func encodeSuspect(suspect dragonflyhatch.SuspectPart) *SuspectPart {
+	message := &SuspectPart{
+		Service: suspect.Part.Service, Id: suspect.Part.ID,
+		SoundAgeMs: encodeAge(suspect.SoundAge), TrialAgeMs: encodeAge(suspect.TrialAge),
+	}
+	for _, termination := range suspect.Terminations {
+		message.Terminations = append(message.Terminations, &PartTermination{
+			Process: termination.Process, Organisation: termination.Organisation, AgeMs: uint32(termination.Age.Milliseconds()),
+		})
+	}
+	return message
+}
+
+func decodeSuspect(message *SuspectPart) dragonflyhatch.SuspectPart {
+	suspect := dragonflyhatch.SuspectPart{
+		Part:     dragonflyhatch.PromptPart{Service: message.GetService(), ID: message.GetId()},
+		SoundAge: decodeAge(message.SoundAgeMs), TrialAge: decodeAge(message.TrialAgeMs),
+	}
+	for _, termination := range message.GetTerminations() {
+		suspect.Terminations = append(suspect.Terminations, dragonflyhatch.PartTermination{
+			Process: termination.GetProcess(), Organisation: termination.GetOrganisation(), Age: time.Duration(termination.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return suspect
+}
+
+// encodeAge returns the age in milliseconds, or nil if it is negative, that is, unknown.
+func encodeAge(age time.Duration) *uint32 {
+	if age < 0 {
+		return nil
+	}
+	millis := uint32(min(age.Milliseconds(), math.MaxUint32))
+	return &millis
+}
+
+func decodeAge(millis *uint32) time.Duration {
+	if millis == nil {
+		return -1
+	}
+	return time.Duration(*millis) * time.Millisecond
+}
+
 func encodeMember(member dragonflyhatch.Member) *Member {
 	return &Member{
 		Host:          member.Host,
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -7,8 +7,13 @@
 	"dragonflyhatch"
 )
 
-// maxAttempts is the largest number of attempts at one request.
-const maxAttempts = 6
+const (
+	// maxAttempts is the largest number of attempts at one request.
+	maxAttempts = 6
+	// maxTerminations is the number of replicas that may terminate under one request
+	// before they have answered it.
+	maxTerminations = 2
+)
 
 // NextAttemptNumber returns the number of the attempt that follows last. Of several
 // attempts at the same request, an engine serves the one with the highest number.
@@ -34,6 +39,7 @@
 	deadline          time.Time
 	count             int      // failed attempts
 	runs              int      // attempts that may have run
+	terminations      int      // replicas that terminated before they answered
 	maxRuns           int      // limit of runs and of the length of replicasRun
 	mayHaveRun        bool     // some attempt may have run
 	excluded          []string // addresses
@@ -137,6 +143,12 @@
 	attempts.mayHaveRun = true
 }
 
+// RecordTermination records that a replica terminated before it answered the request.
+// After several of them no other attempt follows: the request may be the cause.
+func (attempts *Attempts) RecordTermination() {
+	attempts.terminations++
+}
+
 // HandleFailure handles the failure of an attempt. The culprits are the addresses
 // known to be at fault. If another attempt is to follow, HandleFailure spends one
 // retry token from the budget and returns nil; otherwise it returns the failure
@@ -169,7 +181,7 @@
 	switch {
 	case !now.Before(attempts.deadline):
 		return attempts.FinalFailure(deadlineFailure(failure))
-	case attempts.count >= maxAttempts || attempts.runs >= attempts.maxRuns || !retryable(failure.Kind):
+	case attempts.count >= maxAttempts || attempts.runs >= attempts.maxRuns || attempts.terminations >= maxTerminations || !retryable(failure.Kind):
 		return attempts.FinalFailure(failure)
 	case !budget.Spend():
 		return attempts.FinalFailure(failure)
--- a/kind.go
+++ b/kind.go
@@ -48,6 +48,7 @@
 	KindLeaving                          // leaving
 	KindConflict                         // conflict
 	KindConfigurationInvalid             // configurationInvalid
+	KindPromptHeldBack                   // promptHeldBack
 	kindCount                            // kindCount
 )
 
@@ -88,6 +89,7 @@
 	KindLeaving:              {http.StatusServiceUnavailable, RanNo, true, "the host is leaving"},
 	KindConflict:             {http.StatusConflict, RanNo, false, "another change came first"},
 	KindConfigurationInvalid: {http.StatusUnprocessableEntity, RanNo, false, "the configuration has faults"},
+	KindPromptHeldBack:       {http.StatusServiceUnavailable, RanNo, true, "replicas terminated under prompts with a part of this one"},
 }
 
 // ErrorResponse returns the HTTP response for the kind, or that for KindInternal if
