Quarantine of prompt parts: simulated fleets, a command, evidence at the start of a daemon

Found by the simulation of 12, 100 and 300 daemons: terminations at the same moment displaced older ones, so that a part that half of the requests share was never held back (35 terminations in 20 s); what one daemon had evicted, its peers told it again and again; one organisation's terminations hid those of others. Only terminations that count separately are kept, evidence is sent by its age, and several organisations agree also within one window.

Operators list and lift suspicions (dragonflyhatch quarantine list|lift, through any daemon); two gauges count suspected and held parts. A daemon that starts again waits up to 0.3 s for its first peer before it accepts callers, so that it knows what is held back.

TestQueryOfDeathAtAllGateways runs real gateways and engines that crash at a part.

--- a/cmd/dragonflyhatch/main.go
+++ b/cmd/dragonflyhatch/main.go
@@ -64,6 +64,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			gatewayCommand(),
+			quarantineCommand(),
 			soakCommand(),
 			storyCommand(),
 			configCommand(),
--- a/hatchforward/quarantine.go
+++ b/hatchforward/quarantine.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// LiftSuspicion ends the suspicion of the part at all daemons, and reports whether there
+// was one.
+func (forwarder *Forwarder) LiftSuspicion(part dragonflyhatch.PromptPart) bool {
+	changes := forwarder.quarantine.Lift(time.Now(), part)
+	forwarder.handleSuspectChanges(changes)
+	return len(changes) > 0
+}
+
 // handleSuspectChanges logs changes of the evidence, reports them to the peers and
 // abandons the streams that would not be sent any more.
 func (forwarder *Forwarder) handleSuspectChanges(changes []hatchquarantine.Change) {
--- a/hatchgateway/cluster_test.go
+++ b/hatchgateway/cluster_test.go
@@ -25,6 +25,7 @@
 	eventsPerStream = 40
 	layerCount      = 8
 	serviceName     = "lm"
+	deadlyPart      = "dead" // of a prompt, at which the engines crash
 )
 
 // cluster is a store, engines and gateways on loopback.
@@ -117,7 +118,7 @@
 	var err error
 	engine, err = cluster.engineSet.Start(hatchstandin.LayerEngineSpec{
 		ID: id, Service: serviceName, Zone: site, Accelerator: "card", MemoryLayers: 7,
-		Events: eventsPerStream, EventInterval: 10 * time.Millisecond, LoadTime: 50 * time.Millisecond,
+		Events: eventsPerStream, EventInterval: 10 * time.Millisecond, LoadTime: 50 * time.Millisecond, DeadlyPart: deadlyPart,
 	}, func() { register(false) })
 	if err != nil {
 		cluster.t.Fatal(err)
@@ -203,7 +204,7 @@
 
 // call sends a streaming request to the gateway and returns the status and the
 // number of complete events.
-func (gateway *testGateway) call(path, id string) (status, events int) {
+func (gateway *testGateway) call(path, id string, parts ...string) (status, events int) {
 	request, err := http.NewRequest("POST", "http://"+gateway.settings.CallerAddress+path, strings.NewReader("prompt"))
 	if err != nil {
 		return 0, 0
@@ -212,6 +213,9 @@
 	request.Header.Set("Attempt-Id", id)
 	request.Header.Set("Authorization", "Bearer secret")
 	request.Header.Set("Token-Count", "10,40")
+	if len(parts) > 0 {
+		request.Header.Set("Prompt-Prefix", strings.Join(parts, ":1,")+":1")
+	}
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
 		return 0, 0
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -52,6 +52,8 @@
 	newerPeer         atomic.Pointer[dragonflyhatch.Gossip] // from the latest peer with newer versions, until snapshots are fetched from it
 	seeds             atomic.Pointer[[]string]
 	tableLoaded       chan struct{} // closed when the first table is in force
+	peerContact       chan struct{} // closed at the first gossip from a peer
+	firstContact      sync.Once
 	pushRequests      chan struct{} // holds an item while a push to peers is due
 
 	mu              sync.Mutex // guards the fields below
@@ -112,6 +114,7 @@
 		healths:      hatchpath.NewHealthSet(),
 		quarantine:   hatchquarantine.New(),
 		tableLoaded:  make(chan struct{}),
+		peerContact:  make(chan struct{}),
 		pushRequests: make(chan struct{}, 1),
 
 		timeOfDay: time.Now,
@@ -192,19 +195,6 @@
 	gateway.requestPush()
 }
 
-// TrialRank returns the position of this daemon among those that may send a request with
-// the suspected part as a trial, or a negative number if it is leaving.
-func (gateway *Gateway) TrialRank(part dragonflyhatch.PromptPart) int {
-	gateway.mu.Lock()
-	defer gateway.mu.Unlock()
-	return gateway.roster.Rank("trial/" + part.Service + "/" + part.ID)
-}
-
-// ReportSuspects sends the evidence on suspected parts of prompts to peers.
-func (gateway *Gateway) ReportSuspects() {
-	gateway.requestPush()
-}
-
 // ReportUnreachable logs that a replica was found unreachable and reports it to peers.
 func (gateway *Gateway) ReportUnreachable(replica dragonflyhatch.Replica) {
 	gateway.pushToLeader.Store(true)
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -196,6 +196,7 @@
 
 	gateway.recordQueueWaits(now, gossip.QueueWaits)
 	gateway.forwarder.MergeSuspects(gossip.SuspectParts)
+	gateway.firstContact.Do(func() { close(gateway.peerContact) })
 	leavingFound := false
 	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
 		leavingFound = gateway.healths.GetProcess(process).MarkLeaving(now) || leavingFound
--- a/hatchgateway/metrics.go
+++ b/hatchgateway/metrics.go
@@ -30,6 +30,14 @@
 		"fleet.daemons":         func() int64 { return int64(gateway.Daemons()) },
 		"fleet.replicas":        func() int64 { return int64(len(gateway.View().Replicas())) },
 		"fleet.replicasVersion": func() int64 { return int64(gateway.View().Version()) },
+		"quarantine.suspected": func() int64 {
+			suspected, _ := gateway.countSuspects()
+			return suspected
+		},
+		"quarantine.held": func() int64 {
+			_, held := gateway.countSuspects()
+			return held
+		},
 		"fleet.leader": func() int64 {
 			if gateway.isLeader() {
 				return 1
--- a/hatchgateway/run.go
+++ b/hatchgateway/run.go
@@ -109,6 +109,7 @@
 	case <-ctx.Done():
 		return nil, nil
 	}
+	gateway.awaitPeer(ctx)
 	limits := gateway.Table().Limits
 	httpServer := &http.Server{
 		Handler:           gateway.callerHandler(),
@@ -126,6 +127,19 @@
 	return gateway.startServer("callers", gateway.settings.CallerAddress, httpServer)
 }
 
+// awaitPeer waits until the first peer has answered, but not for long: a daemon that has
+// started again learns from its peers which requests are held back.
+func (gateway *Gateway) awaitPeer(ctx context.Context) {
+	if gateway.settings.Bootstrap || len(gateway.unknownSeeds()) == 0 {
+		return
+	}
+	select {
+	case <-gateway.peerContact:
+	case <-time.After(gossipTimeout):
+	case <-ctx.Done():
+	}
+}
+
 // callerHandler forwards requests. While the daemon is stopping, responses ask
 // callers to close the connection.
 func (gateway *Gateway) callerHandler() http.Handler {
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -25,6 +25,9 @@
 	// Snapshot returns the daemon's routing configuration or its replicas as JSON, and
 	// their version, which is 0 if the daemon has none.
 	Snapshot(kind dragonflyhatch.SnapshotKind) (uint64, []byte)
+	// Quarantine returns the suspected parts of prompts as JSON. It first lifts the
+	// suspicion of the given part, unless its ID is empty, and reports whether it did.
+	Quarantine(lift dragonflyhatch.PromptPart) (parts []byte, lifted bool)
 }
 
 // NewFleetHandler returns the HTTP handler of the Fleet service for the daemon.
@@ -62,6 +65,12 @@
 	return &LoanReply{Lent: int32(handler.daemon.GrantRetryTokens(request.GetService(), int(request.GetWanted())))}, nil
 }
 
+// Quarantine returns the suspected parts of prompts to an operator, and lifts a suspicion.
+func (handler *fleetHandler) Quarantine(_ context.Context, request *QuarantineRequest) (*QuarantineReply, error) {
+	parts, lifted := handler.daemon.Quarantine(dragonflyhatch.PromptPart{Service: request.GetLiftService(), ID: request.GetLiftId()})
+	return &QuarantineReply{Parts: parts, Lifted: lifted}, nil
+}
+
 const (
 	// tokenRequestTimeout bounds a request for retry tokens. A stalled stream waits
 	// for the response, and the smallest machines take this long when they are busy.
@@ -137,6 +146,18 @@
 	return int(reply.GetLent()), nil
 }
 
+// Quarantine returns the parts of prompts that the daemon at the address suspects, as
+// JSON, after it has lifted the suspicion of the given part, unless its ID is empty.
+func (client *FleetClient) Quarantine(ctx context.Context, address string, lift dragonflyhatch.PromptPart) (parts []byte, lifted bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, client.timeout)
+	defer cancel()
+	reply, err := NewFleetProtobufClient("http://"+address, client.http).Quarantine(ctx, &QuarantineRequest{LiftService: lift.Service, LiftId: lift.ID})
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "daemon %s", address)
+	}
+	return reply.GetParts(), reply.GetLifted(), nil
+}
+
 func encodeGossip(gossip dragonflyhatch.Gossip) *GossipMessage {
 	message := &GossipMessage{
 		From:            encodeMember(gossip.From),
--- a/hatchquarantine/evidence.go
+++ b/hatchquarantine/evidence.go
@@ -10,11 +10,11 @@
 
 // entry returns the part's entry, which it creates at the first call. The mutex must be
 // held.
-func (table *Table) entry(now time.Time, part dragonflyhatch.PromptPart, organisation string) *suspect {
+func (table *Table) entry(part dragonflyhatch.PromptPart, organisation string) *suspect {
 	entry := table.suspects[part]
 	if entry == nil {
 		table.makeRoom(organisation)
-		entry = &suspect{sound: table.answered.latest(part), changed: now}
+		entry = &suspect{sound: table.answered.latest(part)}
 		table.suspects[part] = entry
 	}
 	return entry
@@ -40,7 +40,7 @@
 			continue
 		}
 		if least == nil || len(entry.terminations) < len(least.terminations) ||
-			len(entry.terminations) == len(least.terminations) && entry.changed.Before(least.changed) {
+			len(entry.terminations) == len(least.terminations) && entry.latest().Before(least.latest()) {
 			victim, least = part, entry
 		}
 	}
@@ -62,8 +62,15 @@
 	return entry.terminations[len(entry.terminations)-1].at
 }
 
+// latest returns the time of the latest evidence.
+func (entry *suspect) latest() time.Time {
+	return later(entry.last(), entry.sound)
+}
+
 // add adds a termination that is not known yet, and reports whether it did. Of two
 // reports of the same one the earlier counts, because messages only add delay.
+// Terminations that would not count separately are not kept, so that they do not
+// displace others.
 func (entry *suspect) add(added termination) bool {
 	same := func(known termination) bool {
 		return known.process == added.process && known.organisation == added.organisation
@@ -75,17 +82,31 @@
 		}
 		return false
 	}
-	if !added.at.After(entry.sound) || slices.Contains(entry.cleared, added.process) || entry.atProcess(added.process) >= maxOrganisationsPerProcess {
+	if !added.at.After(entry.sound) || slices.Contains(entry.cleared, added.process) || entry.near(added.at) >= maxSimultaneous {
 		return false
 	}
+	if len(entry.terminations) >= maxTerminations {
+		if added.at.Before(entry.terminations[0].at) {
+			return false
+		}
+		entry.terminations = slices.Delete(entry.terminations, 0, 1)
+	}
 	entry.terminations = append(entry.terminations, added)
 	entry.sort()
-	if excess := len(entry.terminations) - maxTerminations; excess > 0 {
-		entry.terminations = slices.Delete(entry.terminations, 0, excess)
-	}
 	return true
 }
 
+// near returns the number of terminations less than minSpacing away from the time.
+func (entry *suspect) near(at time.Time) int {
+	count := 0
+	for _, each := range entry.terminations {
+		if each.at.Sub(at).Abs() < minSpacing {
+			count++
+		}
+	}
+	return count
+}
+
 // atProcess returns how many organisations had requests with the part at the process.
 func (entry *suspect) atProcess(process uint64) int {
 	count := 0
@@ -133,7 +154,6 @@
 	if len(entry.terminations) == before {
 		return false
 	}
-	entry.changed = answered
 	entry.localTrial = false
 	return true
 }
@@ -143,36 +163,48 @@
 // far as several organisations agree, so that none can get the parts of another one held
 // back. The mutex must be held.
 func (table *Table) count(entry *suspect, organisation string) (int, time.Time) {
-	own := 0
-	var others []string
-	last := table.each(entry, func(each termination) {
+	var others [maxTerminations]string
+	all, own, agreeing := 0, 0, 0
+	last := table.each(entry, func(each termination, separate bool) {
+		if separate {
+			all++
+		}
 		if each.organisation == organisation {
 			own++
-		} else if !slices.Contains(others, each.organisation) {
-			others = append(others, each.organisation)
+		} else if !slices.Contains(others[:agreeing], each.organisation) {
+			others[agreeing] = each.organisation
+			agreeing++
 		}
 	})
-	return max(own+max(len(others)-1, 0)-entry.credit(), 0), last
+	return max(min(all, own+max(agreeing-1, 0))-entry.credit(), 0), last
 }
 
 // countAll returns how many terminations count against the part and the time of the
 // latest, whatever the organisations. The mutex must be held.
 func (table *Table) countAll(entry *suspect) (int, time.Time) {
 	count := 0
-	last := table.each(entry, func(termination) { count++ })
+	last := table.each(entry, func(_ termination, separate bool) {
+		if separate {
+			count++
+		}
+	})
 	return max(count-entry.credit(), 0), last
 }
 
-// each calls visit with each termination that counts: those at least minSpacing apart
-// that no other part explains better. It returns the time of the latest.
-func (table *Table) each(entry *suspect, visit func(termination)) time.Time {
+// each calls visit with each termination that no other part explains better, and with
+// whether it counts separately from the one before. It returns the time of the latest
+// that does.
+func (table *Table) each(entry *suspect, visit func(each termination, separate bool)) time.Time {
 	var last time.Time
 	for _, each := range entry.terminations {
-		if table.explains[each.process] > entry.processes || !last.IsZero() && each.at.Sub(last) < minSpacing {
+		if table.explains[each.process] > entry.processes {
 			continue
 		}
-		last = each.at
-		visit(each)
+		separate := last.IsZero() || each.at.Sub(last) >= minSpacing
+		if separate {
+			last = each.at
+		}
+		visit(each, separate)
 	}
 	return last
 }
@@ -239,7 +271,7 @@
 // expired reports whether the entry is no longer needed.
 func (entry *suspect) expired(now time.Time) bool {
 	if len(entry.terminations) == 0 {
-		return now.Sub(entry.changed) > newsTime
+		return now.Sub(entry.sound) > newsTime
 	}
 	return now.Sub(entry.last()) > holdTime(len(entry.terminations))+suspicionRetention
 }
@@ -255,13 +287,13 @@
 	}
 	var parts []dragonflyhatch.PromptPart
 	for part, entry := range table.suspects {
-		if !entry.expired(now) && (len(entry.terminations) > 1 || now.Sub(entry.changed) <= newsTime) {
+		if !entry.expired(now) && (len(entry.terminations) > 1 || now.Sub(entry.latest()) <= newsTime) {
 			parts = append(parts, part)
 		}
 	}
 	slices.SortFunc(parts, func(a, b dragonflyhatch.PromptPart) int {
 		first, second := table.suspects[a], table.suspects[b]
-		return cmp.Or(second.urgency()-first.urgency(), second.changed.Compare(first.changed), compareParts(0, 0, a, b))
+		return cmp.Or(second.urgency()-first.urgency(), second.latest().Compare(first.latest()), compareParts(0, 0, a, b))
 	})
 	var snapshot []dragonflyhatch.SuspectPart
 	for _, part := range parts[:min(len(parts), limit)] {
@@ -310,13 +342,13 @@
 			if len(each.Terminations) > 0 {
 				organisation = each.Terminations[0].Organisation
 			}
-			entry = table.entry(now, each.Part, organisation)
+			entry = table.entry(each.Part, organisation)
 		}
 		news := each.SoundAge >= 0 && entry.clear(now.Add(-each.SoundAge))
 		for _, reported := range each.Terminations[:min(len(each.Terminations), maxTerminations)] {
 			at := now.Add(-max(reported.Age, 0))
 			if entry.add(termination{reported.Process, reported.Organisation, at}) {
-				news, entry.changed = true, now
+				news = true
 			} else if !at.After(entry.sound) {
 				refuted = true
 			}
--- a/hatchquarantine/table.go
+++ b/hatchquarantine/table.go
@@ -44,8 +44,8 @@
 
 	maxSuspects                = 256
 	maxSuspectsPerOrganisation = 32
-	maxTerminations            = 8 // of one part
-	maxOrganisationsPerProcess = 2 // whose requests count at one terminated process
+	maxTerminations            = 12 // of one part
+	maxSimultaneous            = 3  // terminations of one part less than minSpacing apart
 )
 
 // Action is what is done with a request.
@@ -98,7 +98,6 @@
 	sound        time.Time     // latest answer; zero if none is known
 	trial        time.Time     // start of the latest trial; zero if there was none
 	localTrial   bool          // this daemon's trial is in progress
-	changed      time.Time
 
 	// Set by update, for the decisions on requests.
 	processes int // distinct ones among the terminations
@@ -135,9 +134,9 @@
 	var changed []dragonflyhatch.PromptPart
 	for _, id := range request.Parts {
 		part := dragonflyhatch.PromptPart{Service: request.Service, ID: id}
-		entry := table.entry(now, part, request.Organisation)
+		entry := table.entry(part, request.Organisation)
 		if entry.add(termination{process, request.Organisation, now}) {
-			entry.changed, entry.localTrial = now, false
+			entry.localTrial = false
 			changed = append(changed, part)
 		}
 	}
@@ -247,7 +246,7 @@
 		return false
 	}
 	for _, entry := range suspects {
-		entry.trial, entry.changed, entry.localTrial = now, now, true
+		entry.trial, entry.localTrial = now, true
 	}
 	return true
 }
--- a/hatchstandin/layers.go
+++ b/hatchstandin/layers.go
@@ -25,6 +25,7 @@
 	LoadTime      time.Duration // time that a layer command takes
 	Advertised    string        // address to register, such as a proxy's; the listener's if empty
 	OnArrival     func(Arrival) // if not nil, called for each request except those meant for another replica
+	DeadlyPart    string        // part of a prompt at which the engine crashes, or empty
 }
 
 // LayerEngineSet is a set of engines that hold ranges of layers and together run
@@ -107,6 +108,13 @@
 	_ = engine.server.Close() // aborts open requests, as a crash does
 }
 
+// IsRunning reports whether the engine has not crashed.
+func (engine *LayerEngine) IsRunning() bool {
+	engine.set.mu.Lock()
+	defer engine.set.mu.Unlock()
+	return engine.set.engines[engine.Address()] == engine
+}
+
 // HeldRange returns the layers that the engine holds: the first, and the one after the
 // last.
 func (engine *LayerEngine) HeldRange() (from, to int) {
@@ -205,6 +213,10 @@
 	}
 	arrival.Ran = true
 	engine.spec.OnArrival(arrival)
+	if deadly := engine.spec.DeadlyPart; deadly != "" && hasPart(request.Header.Get("Prompt-Prefix"), deadly) {
+		engine.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	from, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	if err != nil {
 		from = 0 // no event to resume after: stream from the start
@@ -226,6 +238,16 @@
 	}
 }
 
+// hasPart reports whether a list of entries ID:TOKENS has the id.
+func hasPart(list, id string) bool {
+	for entry := range strings.SplitSeq(list, ",") {
+		if name, _, _ := strings.Cut(entry, ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
 // checkStage returns 200 if the engine of a stage holds the stage's layers, 421 if
 // it does not, 503 if there is no such engine, or 400 if the stage is malformed or
 // the first stage is not the head.
