--- a/hatchgateway/cluster_test.go
+++ b/hatchgateway/cluster_test.go
@@ -38,6 +38,9 @@
 	engineSet *hatchstandin.LayerEngineSet
 	engines   []*hatchstandin.LayerEngine
 	gateways  []*testGateway
+
+	limit    string // that the engines name
+	arrivals arrivalLog
 }
 
 // testGateway is a running gateway with its log and the function that stops it.
@@ -50,10 +53,13 @@
 }
 
 // newCluster starts six engines in two sites and the given number of gateways.
-func newCluster(t *testing.T, gateways int) *cluster {
+func newCluster(t *testing.T, gateways int, options ...func(*cluster)) *cluster {
 	standIn := hatchstandin.NewPlatform()
 	server := httptest.NewServer(standIn.Handler())
 	cluster := &cluster{t: t, number: int(clusterCount.Add(1)), platform: standIn, server: server, store: platform.NewStore(server.Listener.Addr().String()), engineSet: hatchstandin.NewLayerEngineSet()}
+	for _, option := range options {
+		option(cluster)
+	}
 	t.Cleanup(func() {
 		for _, gateway := range cluster.gateways {
 			gateway.stop()
@@ -119,6 +125,7 @@
 	engine, err = cluster.engineSet.Start(hatchstandin.LayerEngineSpec{
 		ID: id, Service: serviceName, Zone: site, Accelerator: "card", MemoryLayers: 7,
 		Events: eventsPerStream, EventInterval: 10 * time.Millisecond, LoadTime: 50 * time.Millisecond, DeadlyPart: deadlyPart,
+		Limit: cluster.limit, OnArrival: func(arrival hatchstandin.Arrival) { cluster.arrivals.add(id, arrival) },
 	}, func() { register(false) })
 	if err != nil {
 		cluster.t.Fatal(err)
--- a/hatchpeer/fleet_test.go
+++ b/hatchpeer/fleet_test.go
@@ -51,7 +51,7 @@
 
 func (stubDaemon) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip { return gossip }
 
-func (stubDaemon) GrantRetryTokens(string, int) int { return 0 }
+func (stubDaemon) GrantRetryTokens(string, int) int                    { return 0 }
 func (stubDaemon) Quarantine(dragonflyhatch.PromptPart) ([]byte, bool) { return nil, false }
 
 func (daemon stubDaemon) Snapshot(dragonflyhatch.SnapshotKind) (uint64, []byte) {
--- a/hatchstandin/layers.go
+++ b/hatchstandin/layers.go
@@ -26,6 +26,7 @@
 	Advertised    string        // address to register, such as a proxy's; the listener's if empty
 	OnArrival     func(Arrival) // if not nil, called for each request except those meant for another replica
 	DeadlyPart    string        // part of a prompt at which the engine crashes, or empty
+	Limit         string        // limit on requests a second that the engine names, or empty
 }
 
 // LayerEngineSet is a set of engines that hold ranges of layers and together run
@@ -201,6 +202,9 @@
 	}
 	stages := strings.Split(request.Header.Get("Hop-Count"), ",")
 	arrival := newArrival(request)
+	if limit := engine.spec.Limit; limit != "" {
+		writer.Header().Set("Server-Limit", limit)
+	}
 	for i, stage := range stages {
 		if status := engine.set.checkStage(stage, i == 0, engine.Address()); status != http.StatusOK {
 			address, _, _ := strings.Cut(stage, "=")
