Requests to a replica that names a limit take slots of one schedule for the whole fleet

Class of fault: a limit on all daemons together that each of them would have to keep.

Change: the limit is parsed (fractions, 0, broken and absurd values), recorded for the replica's process, ended by a response without it, and spread by gossip with its age. Each request to such a replica, new, retried or resumed, takes a slot from the daemon of rank 0 for that process, which grants evenly spaced slots up to 250 ms ahead, for resumed streams up to 1 s. Without a slot another replica is chosen; when all heads are at their limits new streams are refused at once. If the holder does not answer, a daemon keeps to its equal part. Slowdown queries to such engines are left out.

Ruled out: equal parts of the limit (a ninth of a request a second over 300 daemons), and grants like those of retry tokens, which divide a stock that is not spent evenly.

Virtual time with 12, 100 and 300 daemons, lost messages, changing holders and bursts: TestSlotsOfAFleet.

--- a/fleet.go
+++ b/fleet.go
@@ -26,6 +26,7 @@
 	LostReplicas       []string         // addresses that do not answer the sender
 	QueueWaits         []QueueWait      // of engines, as observed lately by any daemon
 	LeavingReplicas    []ReplicaProcess // processes that stated in a response that they are leaving
+	ReplicaLimits      []ReplicaLimit   // limits that replicas have named, or ended, lately
 	SuspectParts       []SuspectPart    // parts of prompts suspected of terminating replicas
 	RoutingVersion     uint64
 	ReplicasVersion    uint64
@@ -35,6 +36,44 @@
 	Term               uint64          // term of the leader
 }
 
+// RateLimit is a replica's limit on the requests of all daemons together.
+type RateLimit struct {
+	PerSecond float64
+	Named     LimitState
+}
+
+// LimitState defines what a response says of a limit.
+type LimitState int
+
+// The values of LimitState.
+const (
+	LimitAbsent  LimitState = iota // absent
+	LimitNamed                     // named
+	LimitInvalid                   // invalid
+)
+
+// ReplicaLimit is the limit that a replica's process named, or none if PerSecond is
+// negative, and when it was observed.
+type ReplicaLimit struct {
+	Process   ReplicaProcess
+	PerSecond float64
+	Age       time.Duration
+}
+
+// SlotRequest asks for the right to send one request to a replica that names a limit.
+type SlotRequest struct {
+	Process   ReplicaProcess
+	PerSecond float64 // limit that the replica names
+	Urgent    bool    // the request resumes a stream
+}
+
+// SlotReply is the answer to a SlotRequest. If it is granted, the request may be sent
+// after the wait; otherwise there is no slot within the wait.
+type SlotReply struct {
+	Granted bool
+	Wait    time.Duration
+}
+
 // QueueWait is how long a stream is expected to wait in the queue of an engine.
 type QueueWait struct {
 	Address string
--- a/gateway.go
+++ b/gateway.go
@@ -195,6 +195,7 @@
 	Closing       bool          // the replica closes the connection, for example because it is leaving
 	Leaving       bool          // the replica states that it is leaving
 	RetryAfter    time.Duration // how long a replica that refused wants no further request, or 0
+	Limit         RateLimit     // the replica's limit on requests from all daemons together
 	Load          *ServiceLoad
 	ReplicaID     string // id of the replica, if given
 }
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -41,6 +41,12 @@
 	ReportUnreachable(replica dragonflyhatch.Replica)
 	// ReportLeaving is called when a replica first states that it is leaving.
 	ReportLeaving(replica dragonflyhatch.Replica)
+	// TakeSlot takes a slot for a request to a replica that names a limit from the
+	// daemon that grants the slots of that replica. It may block for as long as
+	// hatchpeer allows the call to take.
+	TakeSlot(ctx context.Context, request dragonflyhatch.SlotRequest) dragonflyhatch.SlotReply
+	// ReportLimit is called when a replica names another limit, or none any more.
+	ReportLimit()
 	// TrialRank returns the position of this daemon, from 0, among those that may send
 	// a request with the suspected part as a trial, or a negative number if it may not.
 	TrialRank(part dragonflyhatch.PromptPart) int
@@ -276,6 +282,7 @@
 		Site:    call.forwarder.site,
 		Tokens:  call.info.PromptTokens + call.info.OutputTokens,
 		Exclude: attempts.Excluded(),
+		Resumed: call.isRepeat(),
 		Daemons: call.forwarder.fleet.Daemons(),
 		Random:  call.forwarder.random,
 	}
@@ -284,6 +291,9 @@
 // observe records in the node what the head of its response states about it.
 func (call *call) observe(node *hatchpath.Node, status int, info dragonflyhatch.ResponseInfo) {
 	now := time.Now()
+	if status != http.StatusMisdirectedRequest { // which another process may have sent
+		call.observeLimit(now, node, info.Limit)
+	}
 	if info.Load != nil {
 		node.RecordLoad(now, *info.Load)
 	}
--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -18,6 +18,7 @@
 	longPauses  metrics.Counter
 	heldBack    metrics.Counter
 	trials      metrics.Counter
+	slotsDenied metrics.Counter
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -37,6 +38,7 @@
 		longPauses:  metrics.GetOrRegisterCounter("streams.pausedTooLong", registry),
 		heldBack:    metrics.GetOrRegisterCounter("quarantine.refused", registry),
 		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
+		slotsDenied: metrics.GetOrRegisterCounter("limits.slotsDenied", registry),
 	}
 }
 
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -34,6 +34,9 @@
 	var tried []string
 	start := func() error {
 		node, err := call.chooseReplica(tried...)
+		for err == nil && !call.takeSlot(node, call.isRepeat()) {
+			node, err = call.chooseReplica(tried...)
+		}
 		if err != nil {
 			return err
 		}
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -229,6 +230,11 @@
 
 func (fleet *fakeFleet) ReportUnreachable(dragonflyhatch.Replica) {}
 
+func (fleet *fakeFleet) TakeSlot(context.Context, dragonflyhatch.SlotRequest) dragonflyhatch.SlotReply {
+	return dragonflyhatch.SlotReply{Granted: true}
+}
+func (fleet *fakeFleet) ReportLimit() {}
+
 func (fleet *fakeFleet) TrialRank(dragonflyhatch.PromptPart) int { return 0 }
 func (fleet *fakeFleet) ReportSuspects()                         {}
 
--- a/hatchforward/slowdown.go
+++ b/hatchforward/slowdown.go
@@ -17,7 +17,7 @@
 		return
 	}
 	for _, node := range nodes {
-		if node.Accelerator == "" || !node.TryStartSlowdownQuery(time.Now()) {
+		if _, limited := node.Limit(); limited || node.Accelerator == "" || !node.TryStartSlowdownQuery(time.Now()) {
 			continue
 		}
 		go func() {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -44,7 +44,8 @@
 	events      int  // reads with events of the latest attempt
 	trial       bool // the attempt is a trial of a suspected part
 
-	terminations int // that counted against a part of the prompt when the attempt began
+	slotDenied   bool // a replica had no slot for the request within its limit
+	terminations int  // that counted against a part of the prompt when the attempt began
 }
 
 // Spend takes one retry token, unless the watch has done so already.
@@ -76,6 +77,10 @@
 			stream.refuse(err)
 			return
 		}
+		if !stream.takeSlot(pipeline.Nodes[0], stream.isRepeat()) {
+			stream.slotDenied = true
+			continue
+		}
 		if !stream.beginAttempt() {
 			continue
 		}
@@ -132,6 +137,9 @@
 	for {
 		started := time.Now()
 		pipeline, err := stream.choosePipeline()
+		if err != nil && stream.slotDenied && !stream.isRepeat() {
+			return nil, stream.refuseAtLimits(err)
+		}
 		if err == nil || time.Now().Add(dragonflyhatch.FailureOf(err).RetryAfter).After(waitUntil) {
 			return pipeline, err
 		}
--- a/hatchgateway/follow_test.go
+++ b/hatchgateway/follow_test.go
@@ -27,6 +27,10 @@
 }
 func (*versionedPeer) GrantRetryTokens(string, int) int { return 0 }
 
+func (*versionedPeer) GrantSlot(dragonflyhatch.SlotRequest) dragonflyhatch.SlotReply {
+	return dragonflyhatch.SlotReply{}
+}
+
 func (*versionedPeer) Quarantine(dragonflyhatch.PromptPart) ([]byte, bool) { return nil, false }
 
 func (peer *versionedPeer) Snapshot(dragonflyhatch.SnapshotKind) (uint64, []byte) {
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -14,6 +14,7 @@
 	"dragonflyhatch"
 	"dragonflyhatch/hatchaudit"
 	"dragonflyhatch/hatchforward"
+	"dragonflyhatch/hatchlimit"
 	"dragonflyhatch/hatchmember"
 	"dragonflyhatch/hatchpath"
 	"dragonflyhatch/hatchpeer"
@@ -41,6 +42,8 @@
 	forwarder   *hatchforward.Forwarder
 	healths     *hatchpath.HealthSet
 	quarantine  *hatchquarantine.Table
+	slotMu      sync.Mutex // guards slots
+	slots       *hatchlimit.SlotSchedule
 	table       atomic.Pointer[hatchroute.Table]
 	view        atomic.Pointer[hatchpath.View]
 	daemonCount atomic.Int32
@@ -113,6 +116,7 @@
 		peers:        hatchpeer.NewFleetClient(gossipTimeout),
 		healths:      hatchpath.NewHealthSet(),
 		quarantine:   hatchquarantine.New(),
+		slots:        hatchlimit.NewSlotSchedule(),
 		tableLoaded:  make(chan struct{}),
 		peerContact:  make(chan struct{}),
 		pushRequests: make(chan struct{}, 1),
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -25,6 +25,8 @@
 	maxUnreachableSent = 32
 	// maxLeavingSent bounds the leaving replicas in one gossip message.
 	maxLeavingSent = 32
+	// maxLimitsSent bounds the limits of replicas in one gossip message.
+	maxLimitsSent = 32
 	// maxSuspectsSent bounds the suspected parts of prompts in one gossip message.
 	maxSuspectsSent = 32
 	// maxWaitsSent bounds the waits of engines in one gossip message.
@@ -154,6 +156,7 @@
 	gossip.LostReplicas = gateway.View().UnreachableAddresses(now, maxUnreachableSent)
 	gossip.QueueWaits = gateway.View().QueueWaits(now, maxWaitsSent)
 	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
+	gossip.ReplicaLimits = gateway.View().Limits(now, maxLimitsSent)
 	gossip.SuspectParts = gateway.quarantine.Snapshot(now, maxSuspectsSent)
 	return gossip
 }
@@ -201,7 +204,11 @@
 	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
 		leavingFound = gateway.healths.GetProcess(process).MarkLeaving(now) || leavingFound
 	}
-	if updated || leavingFound {
+	limitFound := false
+	for _, limit := range gossip.ReplicaLimits[:min(len(gossip.ReplicaLimits), maxLimitsSent)] {
+		limitFound = gateway.healths.GetProcess(limit.Process).RecordLimit(now.Add(-limit.Age), limit.PerSecond) || limitFound
+	}
+	if updated || leavingFound || limitFound {
 		gateway.requestPush()
 	}
 	for _, member := range toCall {
--- a/hatchmember/rings_test.go
+++ b/hatchmember/rings_test.go
@@ -75,6 +75,9 @@
 				[]string{fmt.Sprint(compareBool(b.StoreLost, false)), fmt.Sprintf("%09d", 1_000_000-b.MilliCores), fmt.Sprintf("%020d", rendezvousWeight(duty, b.Host))})
 		})
 		want := slices.IndexFunc(serving, func(member dragonflyhatch.Member) bool { return member.Host == roster.self.Host })
+		if holder, ok := roster.Holder(duty); ok != (len(serving) > 0) || ok && holder.Host != serving[0].Host {
+			t.Fatalf("holder %s of %s, want the first of %v", holder.Host, duty, memberHosts(serving))
+		}
 		if got := roster.Rank(duty); got != want {
 			t.Fatalf("rank %d for %s, want %d of %v", got, duty, want, memberHosts(serving))
 		}
--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -381,6 +381,34 @@
 	return rank
 }
 
+// Holder returns the daemon whose rank for the named duty is 0, or false if all known
+// daemons are leaving.
+func (roster *Roster) Holder(name string) (holder dragonflyhatch.Member, ok bool) {
+	var weight uint64
+	consider := func(member dragonflyhatch.Member) {
+		order, memberWeight := -1, roster.weight(name, member.Host)
+		if ok {
+			order = cmp.Or(
+				compareBool(member.StoreLost, holder.StoreLost),
+				cmp.Compare(holder.MilliCores, member.MilliCores),
+				cmp.Compare(memberWeight, weight),
+			)
+		}
+		if order < 0 {
+			holder, weight, ok = member, memberWeight, true
+		}
+	}
+	if !roster.self.Leaving {
+		consider(roster.self)
+	}
+	for _, entry := range roster.members {
+		if !entry.Leaving && !entry.isSuspect() {
+			consider(entry.Member)
+		}
+	}
+	return holder, ok
+}
+
 // weight returns the rendezvous weight of the host for the name.
 func (roster *Roster) weight(name, host string) uint64 {
 	key := weightKey{name, host}
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -45,6 +45,7 @@
 	fullUntil         atomic.Int64 // excluded for lack of capacity until then
 	refusals          atomic.Int64 // for lack of capacity since the replica last took a request
 	pausedUntil       atomic.Int64 // wants no request until then, as it stated when it refused one
+	slotsAfter        atomic.Int64 // there are no slots for new requests within the limit that it names until then
 	leavingSince      atomic.Int64 // when it first stated that it is leaving, or 0
 	lastSeen          atomic.Int64 // last time the replica showed that it is alive
 	downSince         atomic.Int64 // 0 unless the replica is unreachable
@@ -59,6 +60,7 @@
 	awaited           awaitedStreams
 	failureRate       average // share of responses that are failures
 	load              atomic.Pointer[timedLoad]
+	limit             atomic.Pointer[timedLimit]
 }
 
 // timedSlowdown is the slowdown that an engine reported, and when.
@@ -213,6 +215,44 @@
 	return monotonicNanos(now) >= next && health.nextSlowdownQuery.CompareAndSwap(next, monotonicNanos(now.Add(slowdownQueryInterval)))
 }
 
+// noLimit stands for the end of a limit.
+const noLimit = -1
+
+// timedLimit is the limit in requests a second that a replica named, or noLimit, and
+// when that was observed.
+type timedLimit struct {
+	perSecond float64
+	at        time.Time
+}
+
+// RecordLimit records that the replica names the limit in requests a second for all
+// daemons together, or none if it is negative. An observation that is older than the
+// latest one is ignored. RecordLimit reports whether the limit has changed.
+func (health *Health) RecordLimit(observed time.Time, perSecond float64) bool {
+	if perSecond < 0 {
+		perSecond = noLimit
+	}
+	previous := health.limit.Load()
+	switch {
+	case previous == nil && perSecond == noLimit, previous != nil && !observed.After(previous.at):
+		return false
+	}
+	if !health.limit.CompareAndSwap(previous, &timedLimit{perSecond, observed}) {
+		return false
+	}
+	return previous == nil || previous.perSecond != perSecond
+}
+
+// Limit returns the limit in requests a second that the replica names, or false if it
+// names none.
+func (health *Health) Limit() (perSecond float64, ok bool) {
+	limit := health.limit.Load()
+	if limit == nil || limit.perSecond == noLimit {
+		return 0, false
+	}
+	return limit.perSecond, true
+}
+
 // timedLoad is the load that a replica reported, and when.
 type timedLoad struct {
 	dragonflyhatch.ServiceLoad
@@ -401,6 +441,22 @@
 	return max(time.Duration(health.pausedUntil.Load()-monotonicNanos(now)), 0)
 }
 
+// DenySlots records that there are no slots for new requests for the duration, within
+// the limit that the replica names.
+func (health *Health) DenySlots(now time.Time, duration time.Duration) {
+	extendExclusion(&health.slotsAfter, now, duration)
+}
+
+// ClosedFor returns for how long the replica takes no request, or no new one if resumed
+// is not set, or 0.
+func (health *Health) ClosedFor(now time.Time, resumed bool) time.Duration {
+	closed := health.PausedFor(now)
+	if !resumed {
+		closed = max(closed, time.Duration(health.slotsAfter.Load()-monotonicNanos(now)))
+	}
+	return closed
+}
+
 // MarkLeaving records that the replica stated that it is leaving. It is not sent any
 // request from then on: a process that leaves does not come back. MarkLeaving reports
 // whether this was not known before.
--- a/hatchpath/health_test.go
+++ b/hatchpath/health_test.go
@@ -42,3 +42,27 @@
 		convey.So(healths.GetProcess(process).IsLeaving(), convey.ShouldBeFalse)
 	})
 }
+
+func TestLimits(t *testing.T) {
+	convey.Convey("The latest observation of a limit counts, in any order", t, func() {
+		health, now := new(Health), time.Now()
+		convey.So(health.RecordLimit(now, -1), convey.ShouldBeFalse)
+		convey.So(health.RecordLimit(now, 9.5), convey.ShouldBeTrue)
+		convey.So(health.RecordLimit(now.Add(time.Second), 9.5), convey.ShouldBeFalse)
+		convey.So(health.RecordLimit(now.Add(500*time.Millisecond), -1), convey.ShouldBeFalse)
+		limit, ok := health.Limit()
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(limit, convey.ShouldEqual, 9.5)
+		convey.So(health.RecordLimit(now.Add(2*time.Second), -1), convey.ShouldBeTrue)
+		_, ok = health.Limit()
+		convey.So(ok, convey.ShouldBeFalse)
+	})
+	convey.Convey("A replica without slots takes resumed requests only", t, func() {
+		health, now := new(Health), time.Now()
+		health.DenySlots(now, time.Second)
+		convey.So(health.ClosedFor(now, false), convey.ShouldEqual, time.Second)
+		convey.So(health.ClosedFor(now, true), convey.ShouldEqual, 0)
+		health.Pause(now, 2*time.Second)
+		convey.So(health.ClosedFor(now, true), convey.ShouldEqual, 2*time.Second)
+	})
+}
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -18,12 +18,13 @@
 	AllowedHeads []string // addresses that may run the first stage; any if empty
 	Daemons      int      // number of daemons that send requests to the same engines, at least 1
 	Random       *rand.Rand
+	Resumed      bool // the request resumes a stream or retries an attempt
 	AnySite      bool // do not prefer this daemon's site; set when many requests may need a new pipeline at the same time
 }
 
 // allowsHead reports whether the node may run the first stage.
 func (query *Query) allowsHead(now time.Time, node *Node) bool {
-	return node.PausedFor(now) == 0 && (len(query.AllowedHeads) == 0 || slices.Contains(query.AllowedHeads, node.Address))
+	return node.ClosedFor(now, query.Resumed) == 0 && (len(query.AllowedHeads) == 0 || slices.Contains(query.AllowedHeads, node.Address))
 }
 
 // Pipeline is a chosen pipeline: stages that cover the layers once and in order.
@@ -109,16 +110,16 @@
 	}
 	return nil, &dragonflyhatch.Failure{
 		Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: "no usable engines of " + query.Service + " cover all layers",
-		RetryAfter: shortestPause(now, set.all),
+		RetryAfter: shortestPause(now, set.all, query.Resumed),
 	}
 }
 
 // shortestPause returns the time until the first of the nodes that refuse requests
 // for a while takes them again, or 0 if there is none.
-func shortestPause(now time.Time, nodes []*Node) time.Duration {
+func shortestPause(now time.Time, nodes []*Node, resumed bool) time.Duration {
 	var shortest time.Duration
 	for _, node := range nodes {
-		pause := node.PausedFor(now)
+		pause := node.ClosedFor(now, resumed)
 		if pause > 0 && (shortest == 0 || pause < shortest) && !node.IsDown(now) && !node.IsLeaving() {
 			shortest = pause
 		}
--- a/hatchpath/service.go
+++ b/hatchpath/service.go
@@ -29,7 +29,7 @@
 	var best *Node
 	bestCost := math.Inf(1)
 	for _, node := range view.byService[query.Service] {
-		if node.IsDown(now) || node.IsLeaving() || node.PausedFor(now) > 0 || slices.Contains(query.Exclude, node.Address) {
+		if node.IsDown(now) || node.IsLeaving() || node.ClosedFor(now, query.Resumed) > 0 || slices.Contains(query.Exclude, node.Address) {
 			continue
 		}
 		cost := node.serviceCost(now, query) * (0.9 + 0.2*query.Random.Float64())
@@ -40,7 +40,7 @@
 	if best == nil {
 		return nil, &dragonflyhatch.Failure{
 			Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: "no usable replica of " + query.Service,
-			RetryAfter: shortestPause(now, view.byService[query.Service]),
+			RetryAfter: shortestPause(now, view.byService[query.Service], query.Resumed),
 		}
 	}
 	return best, nil
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -139,6 +139,26 @@
 	return waits[:min(len(waits), limit)]
 }
 
+// limitNewsTime is how long it is reported that a replica no longer names a limit.
+const limitNewsTime = 5 * time.Second
+
+// Limits returns the limits that replicas name, or have ceased to name lately, the latest
+// first, at most limit of them.
+func (view *View) Limits(now time.Time, limit int) []dragonflyhatch.ReplicaLimit {
+	var limits []dragonflyhatch.ReplicaLimit
+	for _, node := range view.byAddress {
+		named := node.limit.Load()
+		if named == nil || named.perSecond == noLimit && now.Sub(named.at) > limitNewsTime {
+			continue
+		}
+		limits = append(limits, dragonflyhatch.ReplicaLimit{Process: node.Process(), PerSecond: named.perSecond, Age: max(now.Sub(named.at), 0)})
+	}
+	slices.SortFunc(limits, func(a, b dragonflyhatch.ReplicaLimit) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Process.Address, b.Process.Address))
+	})
+	return limits[:min(len(limits), limit)]
+}
+
 // NodeAt returns the node with the address, or nil if there is none or it is leaving.
 func (view *View) NodeAt(address string) *Node {
 	return view.byAddress[address]
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -25,6 +25,8 @@
 	// Snapshot returns the daemon's routing configuration or its replicas as JSON, and
 	// their version, which is 0 if the daemon has none.
 	Snapshot(kind dragonflyhatch.SnapshotKind) (uint64, []byte)
+	// GrantSlot grants a slot for a request to a replica that names a limit.
+	GrantSlot(request dragonflyhatch.SlotRequest) dragonflyhatch.SlotReply
 	// Quarantine returns the suspected parts of prompts as JSON. It first lifts the
 	// suspicion of the given part, unless its ID is empty, and reports whether it did.
 	Quarantine(lift dragonflyhatch.PromptPart) (parts []byte, lifted bool)
@@ -65,6 +67,14 @@
 	return &LoanReply{Lent: int32(handler.daemon.GrantRetryTokens(request.GetService(), int(request.GetWanted())))}, nil
 }
 
+// TakeSlot grants a peer a slot for a request to a replica that names a limit.
+func (handler *fleetHandler) TakeSlot(_ context.Context, request *TakeSlotRequest) (*TakeSlotReply, error) {
+	reply := handler.daemon.GrantSlot(dragonflyhatch.SlotRequest{
+		Process: decodeProcess(request.GetProcess()), PerSecond: request.GetPerSecond(), Urgent: request.GetUrgent(),
+	})
+	return &TakeSlotReply{Granted: reply.Granted, WaitMicros: uint32(min(reply.Wait.Microseconds(), math.MaxUint32))}, nil
+}
+
 // Quarantine returns the suspected parts of prompts to an operator, and lifts a suspicion.
 func (handler *fleetHandler) Quarantine(_ context.Context, request *QuarantineRequest) (*QuarantineReply, error) {
 	parts, lifted := handler.daemon.Quarantine(dragonflyhatch.PromptPart{Service: request.GetLiftService(), ID: request.GetLiftId()})
@@ -75,6 +85,8 @@
 	// tokenRequestTimeout bounds a request for retry tokens. A stalled stream waits
 	// for the response, and the smallest machines take this long when they are busy.
 	tokenRequestTimeout = 100 * time.Millisecond
+	// slotRequestTimeout bounds a request for a slot, for which a request waits.
+	slotRequestTimeout = 100 * time.Millisecond
 	// snapshotTimeout bounds the transfer of a snapshot. A compressed snapshot of
 	// 2,000 routes takes 0.2 s over a link of 14 Mbit/s that several peers share.
 	snapshotTimeout = time.Second
@@ -146,6 +158,20 @@
 	return int(reply.GetLent()), nil
 }
 
+// TakeSlot asks the daemon at the address for a slot for a request to a replica that
+// names a limit.
+func (client *FleetClient) TakeSlot(ctx context.Context, address string, request dragonflyhatch.SlotRequest) (dragonflyhatch.SlotReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, slotRequestTimeout)
+	defer cancel()
+	reply, err := NewFleetProtobufClient("http://"+address, client.http).TakeSlot(ctx, &TakeSlotRequest{
+		Process: encodeProcess(request.Process), PerSecond: request.PerSecond, Urgent: request.Urgent,
+	})
+	if err != nil {
+		return dragonflyhatch.SlotReply{}, errors.Wrapf(err, "peer %s", address)
+	}
+	return dragonflyhatch.SlotReply{Granted: reply.GetGranted(), Wait: time.Duration(reply.GetWaitMicros()) * time.Microsecond}, nil
+}
+
 // Quarantine returns the parts of prompts that the daemon at the address suspects, as
 // JSON, after it has lifted the suspicion of the given part, unless its ID is empty.
 func (client *FleetClient) Quarantine(ctx context.Context, address string, lift dragonflyhatch.PromptPart) (parts []byte, lifted bool, err error) {
@@ -173,13 +199,18 @@
 		message.Members = append(message.Members, encodeMember(member))
 	}
 	for _, process := range gossip.LeavingReplicas {
-		message.LeavingReplicas = append(message.LeavingReplicas, &ReplicaProcess{Id: process.ID, Address: process.Address, Started: process.Started})
+		message.LeavingReplicas = append(message.LeavingReplicas, encodeProcess(process))
 	}
 	for _, wait := range gossip.QueueWaits {
 		message.QueueWaits = append(message.QueueWaits, &QueueWait{
 			Address: wait.Address, WaitMs: uint32(wait.Wait.Milliseconds()), AgeMs: uint32(wait.Age.Milliseconds()),
 		})
 	}
+	for _, limit := range gossip.ReplicaLimits {
+		message.ReplicaLimits = append(message.ReplicaLimits, &ReplicaLimit{
+			Process: encodeProcess(limit.Process), PerSecond: limit.PerSecond, AgeMs: uint32(limit.Age.Milliseconds()),
+		})
+	}
 	for _, suspect := range gossip.SuspectParts {
 		message.SuspectParts = append(message.SuspectParts, encodeSuspect(suspect))
 	}
@@ -207,13 +238,18 @@
 		gossip.Members = append(gossip.Members, decodeMember(member))
 	}
 	for _, process := range message.GetLeavingReplicas() {
-		gossip.LeavingReplicas = append(gossip.LeavingReplicas, dragonflyhatch.ReplicaProcess{ID: process.GetId(), Address: process.GetAddress(), Started: process.GetStarted()})
+		gossip.LeavingReplicas = append(gossip.LeavingReplicas, decodeProcess(process))
 	}
 	for _, wait := range message.GetQueueWaits() {
 		gossip.QueueWaits = append(gossip.QueueWaits, dragonflyhatch.QueueWait{
 			Address: wait.GetAddress(), Wait: time.Duration(wait.GetWaitMs()) * time.Millisecond, Age: time.Duration(wait.GetAgeMs()) * time.Millisecond,
 		})
 	}
+	for _, limit := range message.GetReplicaLimits() {
+		gossip.ReplicaLimits = append(gossip.ReplicaLimits, dragonflyhatch.ReplicaLimit{
+			Process: decodeProcess(limit.GetProcess()), PerSecond: limit.GetPerSecond(), Age: time.Duration(limit.GetAgeMs()) * time.Millisecond,
+		})
+	}
 	for _, suspect := range message.GetSuspectParts() {
 		gossip.SuspectParts = append(gossip.SuspectParts, decodeSuspect(suspect))
 	}
@@ -223,6 +259,14 @@
 	return gossip
 }
 
+func encodeProcess(process dragonflyhatch.ReplicaProcess) *ReplicaProcess {
+	return &ReplicaProcess{Id: process.ID, Address: process.Address, Started: process.Started}
+}
+
+func decodeProcess(message *ReplicaProcess) dragonflyhatch.ReplicaProcess {
+	return dragonflyhatch.ReplicaProcess{ID: message.GetId(), Address: message.GetAddress(), Started: message.GetStarted()}
+}
+
 func encodeSuspect(suspect dragonflyhatch.SuspectPart) *SuspectPart {
 	message := &SuspectPart{
 		Service: suspect.Part.Service, Id: suspect.Part.ID,
--- a/hatchpeer/fleet_test.go
+++ b/hatchpeer/fleet_test.go
@@ -51,7 +51,11 @@
 
 func (stubDaemon) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip { return gossip }
 
-func (stubDaemon) GrantRetryTokens(string, int) int                    { return 0 }
+func (stubDaemon) GrantRetryTokens(string, int) int { return 0 }
+func (stubDaemon) GrantSlot(dragonflyhatch.SlotRequest) dragonflyhatch.SlotReply {
+	return dragonflyhatch.SlotReply{}
+}
+
 func (stubDaemon) Quarantine(dragonflyhatch.PromptPart) ([]byte, bool) { return nil, false }
 
 func (daemon stubDaemon) Snapshot(dragonflyhatch.SnapshotKind) (uint64, []byte) {
--- a/kind.go
+++ b/kind.go
@@ -2,7 +2,7 @@
 
 import "net/http"
 
-//go:generate go tool -modfile=tools/go.mod stringer -type=Kind,Ran,FrameKind,DrainSource,ChoicePolicy,RouteClass,CommandOutcome -linecomment -output=enums_string.go
+//go:generate go tool -modfile=tools/go.mod stringer -type=Kind,Ran,FrameKind,DrainSource,ChoicePolicy,RouteClass,CommandOutcome,LimitState -linecomment -output=enums_string.go
 
 // Ran states whether a refused request ran, as far as is known.
 type Ran int
