--- a/hatchforward/quarantine.go
+++ b/hatchforward/quarantine.go
@@ -56,8 +56,10 @@
 		case change.Held:
 			held = true
 			logger.Warn("prompt part held back")
-		default:
+		case change.Terminations > 0:
 			logger.Info("prompt part suspected")
+		default:
+			logger.Debug("prompt part was at a termination that does not count against it")
 		}
 	}
 	forwarder.fleet.ReportSuspects()
