Expired suspicions end although no other evidence comes; trials are per organisation

An entry that had expired still delayed requests until the next change of the table, though the list for operators left it out. A trial also claimed parts that no termination counts against for that organisation, and so delayed trials of others. The expiry in TestTable failed before.

--- a/hatchquarantine/table.go
+++ b/hatchquarantine/table.go
@@ -203,7 +203,7 @@
 	for _, id := range request.Parts {
 		part := dragonflyhatch.PromptPart{Service: request.Service, ID: id}
 		entry := table.suspects[part]
-		if entry == nil {
+		if entry == nil || entry.expired(now) {
 			continue
 		}
 		count, last := table.count(entry, request.Organisation)
@@ -266,7 +266,10 @@
 	var suspects []*suspect
 	for _, id := range request.Parts {
 		entry := table.suspects[dragonflyhatch.PromptPart{Service: request.Service, ID: id}]
-		if entry != nil && len(entry.terminations) > 0 {
+		if entry == nil {
+			continue
+		}
+		if count, _ := table.count(entry, request.Organisation); count > 0 {
 			suspects = append(suspects, entry)
 		}
 	}
@@ -286,8 +289,8 @@
 	Terminations  int           `json:"terminations"` // that count against the part
 	Organisations []string      `json:"organisations"`
 	Held          bool          `json:"held"`
-	Since         time.Duration `json:"sinceLast"` // nanoseconds since the latest termination
-	Hold          time.Duration `json:"hold"`      // nanoseconds from the latest termination until a trial
+	SinceLast     time.Duration `json:"sinceLastNanos"` // time since the latest termination
+	Hold          time.Duration `json:"holdNanos"`      // time from the latest termination until a trial
 }
 
 // List returns the parts that terminations count against, those with the most first.
@@ -300,7 +303,7 @@
 		if count == 0 || entry.expired(now) {
 			continue
 		}
-		status := Status{PromptPart: part, Terminations: count, Held: count >= heldTerminations, Since: now.Sub(last), Hold: holdTime(count)}
+		status := Status{PromptPart: part, Terminations: count, Held: count >= heldTerminations, SinceLast: now.Sub(last), Hold: holdTime(count)}
 		for _, each := range entry.terminations {
 			if !slices.Contains(status.Organisations, each.organisation) {
 				status.Organisations = append(status.Organisations, each.organisation)
--- a/hatchquarantine/table_test.go
+++ b/hatchquarantine/table_test.go
@@ -73,8 +73,10 @@
 		table := New()
 		table.RecordTermination(at(0), 1, deadly)
 		table.RecordTermination(at(500), 2, deadly)
+		convey.So(table.check(50_499, deadly), convey.ShouldNotEqual, Send)
+		convey.So(table.check(50_501, deadly), convey.ShouldEqual, Send)
 		table.RecordTermination(at(60_000), 3, request("a", "other"))
-		convey.So(table.check(60_000, deadly), convey.ShouldEqual, Send)
+		convey.So(table.suspects, convey.ShouldHaveLength, 1)
 	})
 	convey.Convey("Replicas that terminate at the same time count once", t, func() {
 		table := New()
