--- a/hatchserve/completions.go
+++ b/hatchserve/completions.go
@@ -181,19 +181,9 @@
 		daemon.journal.AddEvent(completion.request.Request, "moved", "waited in the queue of "+choice.Replicas[0].Name)
 		return nil, err
 	}
-	if !meter.hasToken && ctx.Err() == nil && isLost(err) {
-		completion.attempts.RecordTermination()
-	}
 	return completion.handleFailure(ctx, choice, err)
 }
 
-// isLost reports whether the error means that the connection to the head broke after the
-// request was sent.
-func isLost(err error) bool {
-	var failure *dragonflyhatch.Failure
-	return errors.As(err, &failure) && failure.Kind == dragonflyhatch.KindUpstreamLost
-}
-
 // prepareMove reports whether the attempt should be abandoned and repeated on
 // another pipeline, because it has been queued at its engine for a while without
 // a token and another engine appears to be free. If so, it excludes the current
