--- a/review/_harness/foreignentries.go
+++ b/review/_harness/foreignentries.go
@@ -9,11 +9,11 @@
 const (
 	cutTime       = 3 * time.Second // a replica is cut off; shorter than three check-ins, so that its entry stays
 	cutPause      = 500 * time.Millisecond
-	firstCutAt    = 1 * time.Second
+	firstCutAt    = 4 * time.Second
 	deskCount     = 3
-	menuPause     = 50 * time.Millisecond
-	deskPause     = 100 * time.Millisecond
-	foreignLength = 80 * time.Second
+	menuPause     = 25 * time.Millisecond
+	deskPause     = 50 * time.Millisecond
+	foreignLength = 88 * time.Second
 )
 
 // foreignEntries cuts the replicas of a plain service off one after the other, each for
@@ -98,8 +98,10 @@
 	}
 	for i, link := range links {
 		time.Sleep(time.Until(started.Add(firstCutAt + time.Duration(i)*(cutTime+cutPause))))
-		record.printf("i-desk-%d is cut off: its channels are reset", i+1)
-		link.cut()
+		record.printf("i-desk-%d is cut off", i+1)
+		if err := link.cut(); err != nil {
+			return false, err
+		}
 		time.Sleep(cutTime)
 		if err := link.heal(); err != nil {
 			return false, err
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -23,6 +23,7 @@
 // cases are the scenarios by name. Each returns whether the rule held.
 var cases = map[string]func(record *record, trouble bool) (held bool, err error){
 	"foreign-entries": foreignEntries,
+	"leavers":         leavers,
 	"odd-entry":       oddEntry,
 	"silent-watches":  silentWatches,
 }
--- a/review/_harness/oddentry.go
+++ b/review/_harness/oddentry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -127,8 +128,10 @@
 	}
 	fleet.stop()
 	for _, host := range fleet.hosts {
-		for _, line := range host.logged("panic") {
-			record.verdict("%s logged at its end: %s", host.name, line)
+		for _, line := range host.logged("panic: ") {
+			if strings.HasPrefix(line, "panic: ") { // the lines of the stack name folders of this machine
+				record.verdict("%s logged at its end: %s", host.name, line)
+			}
 		}
 		if host.exitErr != nil {
 			record.verdict("%s, stopped with SIGTERM, ended with %v", host.name, host.exitErr)
--- a/review/_harness/proxy.go
+++ b/review/_harness/proxy.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // proxy forwards TCP connections on loopback to a target.
@@ -10,6 +13,9 @@
 	listener net.Listener
 	target   string
 
+	deaf int        // socket that listens during a partition
+	fill []net.Conn // connections that fill its queue
+
 	mu    sync.Mutex
 	links map[*link]bool
 }
@@ -104,20 +110,51 @@
 	return len(proxy.links)
 }
 
-// cut resets all connections and refuses new ones, until heal.
-func (proxy *proxy) cut() {
+// cut partitions the target: open connections go silent, and packets that open new ones
+// get no answer, until heal. The latter is done with a listener that accepts nothing and
+// whose queue is full.
+func (proxy *proxy) cut() error {
+	proxy.silence()
+	address := proxy.listener.Addr().(*net.TCPAddr)
 	proxy.listener.Close()
-	proxy.mu.Lock()
-	defer proxy.mu.Unlock()
-	for link := range proxy.links {
-		_ = link.client.(*net.TCPConn).SetLinger(0) // Close then sends a reset
-		link.client.Close()
-		link.server.Close()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return err
+	}
+	proxy.deaf = socket
+	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}); err != nil {
+		return err
 	}
+	if err := syscall.Listen(socket, 0); err != nil {
+		return err
+	}
+	for range maxFill {
+		conn, err := net.DialTimeout("tcp", address.String(), fillTimeout)
+		if err != nil {
+			return nil // the queue is full
+		}
+		proxy.fill = append(proxy.fill, conn)
+	}
+	return errors.New("the queue of the listener is never full")
 }
 
-// heal accepts connections again.
+const (
+	maxFill     = 16
+	fillTimeout = 50 * time.Millisecond
+)
+
+// heal ends the partition. What was silent stays so.
 func (proxy *proxy) heal() error {
+	for _, conn := range proxy.fill {
+		conn.Close()
+	}
+	proxy.fill = nil
+	if err := syscall.Close(proxy.deaf); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", proxy.address())
 	if err != nil {
 		return err
--- a/review/_harness/replica.go
+++ b/review/_harness/replica.go
@@ -237,7 +237,12 @@
 	}
 	id := request.Header.Get("Attempt-Id")
 	replica.record.printf("request %s reaches %s, which runs it", id, replica.id)
-	time.Sleep(replica.work)
+	select {
+	case <-time.After(replica.work):
+	case <-request.Context().Done(): // most replicas drop a request when its channel closes
+		replica.record.printf("replica %s drops request %s: its channel is closed", replica.id, id)
+		return
+	}
 	header.Set("Server-Seal", "seal of "+replica.id)
 	header.Set("Content-Type", "text/plain")
 	fmt.Fprint(writer, plainBody(id))
