--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -26,6 +26,7 @@
 	"leavers":         leavers,
 	"odd-entry":       oddEntry,
 	"silent-watches":  silentWatches,
+	"stale-config":    staleConfig,
 }
 
 func main() {
--- a/review/_harness/proxy.go
+++ b/review/_harness/proxy.go
@@ -18,6 +18,7 @@
 
 	mu    sync.Mutex
 	links map[*link]bool
+	mute  bool // nothing gets through until it is lifted
 }
 
 // link is one connection through a proxy.
@@ -25,6 +26,7 @@
 	client, server net.Conn
 	mu             sync.Mutex
 	silent         bool
+	opened         time.Time
 	open           chan struct{} // closed when the link ends
 }
 
@@ -51,8 +53,9 @@
 			client.Close()
 			continue
 		}
-		link := &link{client: client, server: server, open: make(chan struct{})}
+		link := &link{client: client, server: server, opened: time.Now(), open: make(chan struct{})}
 		proxy.mu.Lock()
+		link.silent = proxy.mute
 		proxy.links[link] = true
 		proxy.mu.Unlock()
 		var once sync.Once
@@ -110,6 +113,28 @@
 	return len(proxy.links)
 }
 
+// setDeaf sets whether the target gives no answers: neither on open connections nor on
+// new ones. Connections that have been silent stay so.
+func (proxy *proxy) setDeaf(deaf bool) {
+	proxy.mu.Lock()
+	proxy.mute = deaf
+	proxy.mu.Unlock()
+	if deaf {
+		proxy.silence()
+	}
+}
+
+// oldest returns how long the oldest open connection has been open, or 0.
+func (proxy *proxy) oldest() time.Duration {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	var oldest time.Duration
+	for link := range proxy.links {
+		oldest = max(oldest, time.Since(link.opened))
+	}
+	return oldest
+}
+
 // cut partitions the target: open connections go silent, and packets that open new ones
 // get no answer, until heal. The latter is done with a listener that accepts nothing and
 // whose queue is full.
--- a/review/_harness/store.go
+++ b/review/_harness/store.go
@@ -43,6 +43,23 @@
 	objects  map[string]map[string]object // by kind and name
 	history  map[string][]event           // by kind
 	changed  chan struct{}                // closed and replaced at each change
+	busy     bool                         // every call is refused with 503
+}
+
+// setBusy sets whether the store refuses every call with 503. It also cuts off the
+// watches that wait.
+func (store *store) setBusy(busy bool) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.busy = busy
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+func (store *store) isBusy() bool {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.busy
 }
 
 func newStore() *store {
@@ -109,6 +126,10 @@
 		writer.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if store.isBusy() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	kind, name, _ := strings.Cut(rest, "/")
 	query := request.URL.Query()
 	switch {
@@ -169,7 +190,11 @@
 				page.Events = append(page.Events, change)
 			}
 		}
+		busy := store.busy
 		store.mu.Unlock()
+		if busy {
+			panic(http.ErrAbortHandler)
+		}
 		if len(page.Events) > 0 {
 			reply(writer, page, http.StatusOK)
 			return
