--- a/review/_harness/fleet.go
+++ b/review/_harness/fleet.go
@@ -127,6 +127,7 @@
 	process := exec.Command(program, "gateway") // the run line of deploy/system.toml
 	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "DRAGONFLYHATCH_CONFIG=" + host.settings}
 	process.Stdout, process.Stderr = log, log
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the harness
 	if err := process.Start(); err != nil {
 		return err
 	}
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 )
 
@@ -30,6 +31,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // the machines end with the thread that started them
 	os.Exit(run())
 }
 
