--- a/review/_harness/staleconfig.go
+++ b/review/_harness/staleconfig.go
@@ -89,9 +89,9 @@
 				return false, fmt.Errorf("%d machines watch the store, which are more than may be turned away", len(away))
 			}
 			for _, name := range away {
-				links[name].setDeaf(true)
+				links[name].setResetting(true)
 			}
-			record.printf("the store gives no answers to %v", away)
+			record.printf("the store resets the channels of %v", away)
 		}
 		started := time.Now()
 		time.Sleep(500 * time.Millisecond)
@@ -126,7 +126,7 @@
 		}
 		time.Sleep(time.Until(started.Add(awayTime)))
 		for _, name := range away {
-			links[name].setDeaf(false)
+			links[name].setResetting(false)
 		}
 		if trouble {
 			record.printf("the store serves all machines")
