--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -16,6 +16,7 @@
 	resumes     metrics.Counter
 	stalls      metrics.Counter
 	longPauses  metrics.Counter
+	aborted     metrics.Counter
 	heldBack    metrics.Counter
 	trials      metrics.Counter
 	slotsDenied metrics.Counter
@@ -35,6 +36,7 @@
 		budgetSpent: metrics.GetOrRegisterCounter("retries.budgetSpent", registry),
 		resumes:     metrics.GetOrRegisterCounter("streams.resumed", registry),
 		stalls:      metrics.GetOrRegisterCounter("streams.stalled", registry),
+		aborted:     metrics.GetOrRegisterCounter("streams.aborted", registry),
 		longPauses:  metrics.GetOrRegisterCounter("streams.pausedTooLong", registry),
 		heldBack:    metrics.GetOrRegisterCounter("quarantine.refused", registry),
 		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -195,6 +195,7 @@
 	case stream.callerDisconnected():
 		stream.recordOutcome(statusCallerDisconnected, "caller disconnected")
 	case stream.headersSent:
+		stream.forwarder.metricSet.aborted.Inc(1)
 		stream.recordOutcome(http.StatusBadGateway, "stream aborted: "+err.Error())
 		panic(http.ErrAbortHandler)
 	default:
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -184,7 +184,9 @@
 	case attempts.count >= maxAttempts || attempts.runs >= attempts.maxRuns || attempts.terminations >= maxTerminations || !retryable(failure.Kind):
 		return attempts.FinalFailure(failure)
 	case !budget.Spend():
-		return attempts.FinalFailure(failure)
+		return attempts.FinalFailure(&dragonflyhatch.Failure{
+			Kind: failure.Kind, Detail: "no retry token after: " + failure.Detail, Cause: failure, RetryAfter: failure.RetryAfter,
+		})
 	}
 	return nil
 }
