A stream that has begun waits for a retry token

Callers saw streams closed in the middle of the answer beside planned work, with most of their time left (LOST). Cause: a stream that had begun competed for retry tokens with requests that can still be refused, and was closed at once when there was none; a daemon asked its peers for one token at a time, and after a round without any closed all its streams for half a second.

Change: requests that can still be refused leave a reserve of each daemon's share, and get no token while a begun stream of the daemon waits; a begun stream waits until its caller disconnects or its deadline passes; peers are asked for as many tokens as streams wait. The budget of the fleet is as before.

TestBegunStreamsAreNotGivenUp failed before (stream incomplete). Three older tests whose streams can never end complete send a deadline now, as they would otherwise last until the route's timeout; their assertions are unchanged.

--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -33,11 +33,11 @@
 	// lost its connection: it is no longer registered, or several daemons cannot
 	// reach it.
 	IsGone(address string) bool
-	// RequestRetryTokens requests retry tokens of the service from other daemons. It
-	// calls credit with the number that each grants; these tokens must be spent
-	// immediately.
+	// RequestRetryTokens requests retry tokens of the service, the wanted number in all,
+	// from other daemons. It calls credit with the number that each grants; these tokens
+	// must be spent immediately.
 	// It returns after the first grant, or when there will be none.
-	RequestRetryTokens(service string, credit func(granted int))
+	RequestRetryTokens(service string, wanted int, credit func(granted int))
 	// ReportUnreachable is called when a replica is found to be unreachable.
 	ReportUnreachable(replica dragonflyhatch.Replica)
 	// ReportLeaving is called when a replica first states that it is leaving.
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -205,7 +205,7 @@
 	table     *hatchroute.Table
 	view      *hatchpath.View
 	healths   *hatchpath.HealthSet
-	grantable int // retry tokens that other daemons grant at the next request
+	grantable atomic.Int32 // retry tokens that other daemons grant at the next request
 
 	grantDelay time.Duration // until the other daemons grant them
 
@@ -217,10 +217,9 @@
 func (fleet *fakeFleet) Table() *hatchroute.Table { return fleet.table }
 func (fleet *fakeFleet) View() *hatchpath.View    { return fleet.view }
 func (fleet *fakeFleet) Daemons() int             { return 1 }
-func (fleet *fakeFleet) RequestRetryTokens(_ string, credit func(int)) {
+func (fleet *fakeFleet) RequestRetryTokens(_ string, _ int, credit func(int)) {
 	time.Sleep(fleet.grantDelay)
-	credit(fleet.grantable)
-	fleet.grantable = 0
+	credit(int(fleet.grantable.Swap(0)))
 }
 
 func (fleet *fakeFleet) IsGone(address string) bool {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -48,13 +48,23 @@
 	terminations int  // that counted against a part of the prompt when the attempt began
 }
 
-// Spend takes one retry token, unless the watch has done so already.
+// Spend takes one retry token, unless the watch has done so already. A stream that has
+// begun cannot be refused any more: it waits for a token, until its caller
+// disconnects or its deadline passes.
 func (stream *stream) Spend() bool {
-	if stream.prepaid {
+	switch {
+	case stream.prepaid:
 		stream.prepaid = false
 		return true
+	case !stream.headersSent:
+		return stream.call.Spend()
+	}
+	started := time.Now()
+	ok := stream.forwarder.awaitToken(stream.ctx, stream.service.Name)
+	if waited := time.Since(started); waited > tokenPollInterval {
+		stream.logger.Info("retry delayed", "waited", waited, "service", stream.service.Name, "granted", ok)
 	}
-	return stream.call.Spend()
+	return ok
 }
 
 // serveStream forwards the events of a pipeline. When the pipeline fails, the
@@ -69,7 +79,7 @@
 		}
 		pipeline, err := stream.awaitPipeline()
 		if err != nil {
-			stream.endWithFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err)))
+			stream.endWithFailure(stream.finalFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err))))
 			return
 		}
 		stream.chosenAddress = pipeline.Nodes[0].Address
@@ -95,7 +105,7 @@
 			return
 		}
 		if err := stream.handlePipelineFailure(pipeline, failure, culprits); err != nil {
-			stream.endWithFailure(err)
+			stream.endWithFailure(stream.finalFailure(err))
 			return
 		}
 		if stream.headersSent {
@@ -188,6 +198,15 @@
 	return view.Pipeline(time.Now(), query)
 }
 
+// finalFailure returns the failure of a stream that makes no further attempt because of
+// err.
+func (stream *stream) finalFailure(err error) error {
+	if stream.headersSent && stream.ctx.Err() != nil {
+		return stream.endedEarly("stream incomplete at the deadline, after: " + err.Error())
+	}
+	return err
+}
+
 // endWithFailure ends a stream that is incomplete. If its headers were sent
 // already, the connection to the caller is aborted.
 func (stream *stream) endWithFailure(err error) {
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -210,7 +210,7 @@
 		fleet := newFleet("lm", one, two)
 		server := newServer(t, fleet, WithRetryLimits(hatchretry.SharedLimits{Window: 10 * time.Second}))
 		convey.Convey("A stream resumes with a retry token that another daemon grants", func() {
-			fleet.grantable = 1
+			fleet.grantable.Store(1)
 			got := sendRequest(server, "POST", "/stream/", "lent")
 			convey.So(got.complete, convey.ShouldBeTrue)
 			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
@@ -225,14 +225,38 @@
 				convey.So(sendRequest(server, "GET", "/safe/", id).latency, convey.ShouldBeLessThan, 500*time.Millisecond)
 			}
 		})
+		convey.Convey("A request that has not begun is refused at once without a token", func() {
+			one.setStream(refusesFull, 0)
+			got := sendRequest(server, "POST", "/stream/", "new")
+			convey.So(got.status, convey.ShouldEqual, http.StatusServiceUnavailable)
+			convey.So(got.latency, convey.ShouldBeLessThan, tokenRequestPause)
+		})
 		convey.Convey("Without a granted token the stream is aborted", func() {
-			got := sendRequest(server, "POST", "/stream/", "spent")
+			got := sendRequest(server, "POST", "/stream/", "spent", "Deadline-Ms", "1000")
 			convey.So(got.complete, convey.ShouldBeFalse)
 			convey.So(two.runsOf("spent"), convey.ShouldEqual, 0)
 		})
 	})
 }
 
+// TestBegunStreamsAreNotGivenUp guards against streams that are closed in the middle of
+// the answer, although most of their time is left.
+func TestBegunStreamsAreNotGivenUp(t *testing.T) {
+	convey.Convey("Given an engine that breaks streams off", t, func() {
+		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
+		one.setStream(resetsInsideEvent, 5)
+		two.setStream(endsComplete, 0)
+		fleet := newFleet("lm", one, two)
+		convey.Convey("A stream waits for a retry token that no daemon has at first", func() {
+			server := newServer(t, fleet, WithRetryLimits(hatchretry.SharedLimits{Window: 10 * time.Second}))
+			time.AfterFunc(3*tokenRequestPause/2, func() { fleet.grantable.Store(1) })
+			got := sendRequest(server, "POST", "/stream/", "late")
+			convey.So(got.complete, convey.ShouldBeTrue)
+			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
+		})
+	})
+}
+
 func TestStreamsKeepToTheirReplicas(t *testing.T) {
 	convey.Convey("Given a route whose requests may run on two replicas, and four engines", t, func() {
 		engines := []*fakeReplica{newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2"), newFakeReplica(t, "e-3"), newFakeReplica(t, "e-4")}
@@ -242,7 +266,7 @@
 			for _, engine := range engines {
 				engine.setStream(resetsInsideEvent, 6)
 			}
-			got := sendRequest(server, "POST", "/stream/", "s")
+			got := sendRequest(server, "POST", "/stream/", "s", "Deadline-Ms", "1000")
 			convey.So(got.complete, convey.ShouldBeFalse)
 			used := 0
 			for _, engine := range engines {
@@ -277,7 +301,7 @@
 		server := newServer(t, newFleet("lm", engines...))
 		defer server.Close()
 		after := rapid.IntRange(0, streamEvents-1).Draw(t, "after")
-		got := sendRequest(server, "POST", "/stream/", "s", "Last-Event-Id", strconv.Itoa(after))
+		got := sendRequest(server, "POST", "/stream/", "s", "Last-Event-Id", strconv.Itoa(after), "Deadline-Ms", "100")
 		if got.status != 200 {
 			return
 		}
--- a/hatchgateway/retrytokens.go
+++ b/hatchgateway/retrytokens.go
@@ -12,18 +12,19 @@
 	return gateway.forwarder.GrantRetryTokens(service, wanted)
 }
 
-// RequestRetryTokens requests one retry token of the service from each of some random
-// peers and calls credit with the tokens granted. It returns once a peer has granted
-// one or all have responded.
-func (gateway *Gateway) RequestRetryTokens(service string, credit func(granted int)) {
+// RequestRetryTokens requests an equal part of the wanted retry tokens of the service,
+// at least one, from each of some random peers and calls credit with the tokens granted.
+// It returns once a peer has granted one or all have responded.
+func (gateway *Gateway) RequestRetryTokens(service string, wanted int, credit func(granted int)) {
 	gateway.mu.Lock()
 	peers := gateway.roster.Peers(gateway.random)
 	gateway.mu.Unlock()
 	peers = peers[:min(len(peers), maxTransferPeers)]
+	part := (wanted + len(peers) - 1) / max(len(peers), 1)
 	grants := make(chan int, len(peers))
 	for _, peer := range peers {
 		go func() {
-			granted, err := gateway.peers.RequestRetryTokens(context.Background(), peer.PeerAddress, service, 1)
+			granted, err := gateway.peers.RequestRetryTokens(context.Background(), peer.PeerAddress, service, part)
 			if err != nil {
 				gateway.logger.Debug("retry token request failed", "host", peer.Host, "service", service, "error", err)
 			}
--- a/hatchretry/shared.go
+++ b/hatchretry/shared.go
@@ -18,6 +18,10 @@
 // slots begin at different times.
 const safetyFactor = 0.7
 
+// reserveFactor is the fraction of a daemon's share that is kept for streams that have
+// begun: a request that has not can still be refused.
+const reserveFactor = 0.3
+
 // grantLifetime is how long retry tokens granted by other daemons may be spent. The
 // granting daemon counts them at the time of the grant, so they must not be kept
 // for a later window.
@@ -63,10 +67,21 @@
 // other daemons, and reports whether there was one. The parameter daemons is the
 // number of daemons that share the budget.
 func (budget *SharedBudget) Spend(now time.Time, daemons int) bool {
+	return budget.spend(now, daemons, 1)
+}
+
+// SpendUnreserved is like Spend, but leaves the reserve of this daemon's share.
+func (budget *SharedBudget) SpendUnreserved(now time.Time, daemons int) bool {
+	return budget.spend(now, daemons, 1-reserveFactor)
+}
+
+// spend takes one retry token from the given fraction of this daemon's share or from
+// those granted by other daemons, and reports whether there was one.
+func (budget *SharedBudget) spend(now time.Time, daemons int, fraction float64) bool {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	index := budget.advance(now)
-	if float64(sum(budget.retries)+1) <= budget.allowed(daemons) {
+	if float64(sum(budget.retries)+1) <= fraction*budget.allowed(daemons) {
 		budget.retries[index]++
 		return true
 	}
--- a/hatchretry/shared_test.go
+++ b/hatchretry/shared_test.go
@@ -92,6 +92,14 @@
 		})
 		convey.So(budget.Remaining(now.Add(11*time.Second), 10), convey.ShouldEqual, 28)
 	})
+	convey.Convey("Requests that can still be refused leave a reserve for streams that have begun", t, func() {
+		budget := NewSharedBudget(SharedLimits{Ratio: 0.2, Extra: 400, Window: 10 * time.Second})
+		now := time.Now()
+		for budget.SpendUnreserved(now, 10) {
+		}
+		convey.So(budget.Remaining(now, 10), convey.ShouldEqual, 9)
+		convey.So(budget.Spend(now, 10), convey.ShouldBeTrue)
+	})
 }
 
 func TestAttemptsThatMayRunOnce(t *testing.T) {
