A stream that has begun waits for a pipeline

Callers saw streams closed 1.5 s after the loss of their pipeline, with most of their time left (LOST beside planned work). Cause: the wait for lost layers was the same for requests that can still be refused and for streams that have begun; a refusal by a full engine excluded it for the rest of the stream, and counted against the six attempts at a request.

Change: a stream that has begun waits until its caller disconnects or its deadline passes; when no other pipeline is left it goes back to engines that have refused it, with exponential backoff between attempts that bring nothing. It takes a token only once there is a pipeline.

The second part of TestBegunStreamsAreNotGivenUp failed before (stream incomplete).

--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -42,6 +42,7 @@
 	flusher     http.Flusher
 	prepaid     bool // the watch has spent the retry token of the next attempt
 	events      int  // reads with events of the latest attempt
+	fruitless   int  // consecutive failed attempts without events
 	trial       bool // the attempt is a trial of a suspected part
 
 	slotDenied   bool // a replica had no slot for the request within its limit
@@ -49,7 +50,7 @@
 }
 
 // Spend takes one retry token, unless the watch has done so already. A stream that has
-// begun cannot be refused any more: it waits for a token, until its caller
+// begun cannot be refused any more: it waits for a pipeline and a token, until its caller
 // disconnects or its deadline passes.
 func (stream *stream) Spend() bool {
 	switch {
@@ -60,6 +61,10 @@
 		return stream.call.Spend()
 	}
 	started := time.Now()
+	sleep(stream.ctx, hatchretry.Backoff(stream.fruitless, stream.forwarder.random.Float64()))
+	if _, err := stream.awaitPipeline(); err != nil {
+		return false
+	}
 	ok := stream.forwarder.awaitToken(stream.ctx, stream.service.Name)
 	if waited := time.Since(started); waited > tokenPollInterval {
 		stream.logger.Info("retry delayed", "waited", waited, "service", stream.service.Name, "granted", ok)
@@ -124,6 +129,10 @@
 	if !stream.route.Repeatable() {
 		return stream.handleFailure(now, failure, culprits...)
 	}
+	stream.fruitless++
+	if stream.events > 0 {
+		stream.fruitless = 0
+	}
 	stream.recordFailure(now, failure, culprits,
 		"events", stream.events, "terminated", terminated, "promptParts", stream.info.SharedParts)
 	return stream.attempts.HandleReplicaFailure(now, failure, pipeline.Nodes[0].Address, culprits, stream)
@@ -141,9 +150,14 @@
 }
 
 // awaitPipeline returns a pipeline. If there is none, it waits for one for up to
-// pipelineWait, but not for engines that have refused requests for longer.
+// pipelineWait, but not for engines that have refused requests for longer. A stream that
+// has begun waits until its caller disconnects or its deadline passes, and then also uses
+// engines that have refused it.
 func (stream *stream) awaitPipeline() (*hatchpath.Pipeline, error) {
 	waitUntil := time.Now().Add(stream.forwarder.pipelineWait)
+	if stream.headersSent {
+		waitUntil = stream.deadline
+	}
 	for {
 		started := time.Now()
 		pipeline, err := stream.choosePipeline()
@@ -153,6 +167,9 @@
 		if err == nil || time.Now().Add(dragonflyhatch.FailureOf(err).RetryAfter).After(waitUntil) {
 			return pipeline, err
 		}
+		if stream.headersSent {
+			stream.attempts.ClearExcluded()
+		}
 		select {
 		case <-stream.ctx.Done():
 			return nil, err
@@ -420,6 +437,7 @@
 		copyHeader(stream.writer.Header(), stream.forwarder.dialect.EndToEndHeaders(replicaExchange.response.Header))
 		stream.writer.WriteHeader(replicaExchange.response.StatusCode)
 		stream.headersSent = true
+		stream.attempts.RecordDelivery()
 		stream.forwarder.metricSet.recordFirstEvent(time.Since(stream.started))
 	}
 	if _, err := stream.writer.Write(events); err != nil {
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -254,6 +254,13 @@
 			convey.So(got.complete, convey.ShouldBeTrue)
 			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
 		})
+		convey.Convey("A stream waits for a pipeline longer than a new request, also while the other engine refuses it", func() {
+			two.setStream(refusesFull, 0)
+			time.AfterFunc(time.Second, func() { two.setStream(endsComplete, 0) })
+			got := sendRequest(newServer(t, fleet), "POST", "/stream/", "refused")
+			convey.So(got.complete, convey.ShouldBeTrue)
+			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
+		})
 	})
 }
 
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -10,11 +10,29 @@
 const (
 	// maxAttempts is the largest number of attempts at one request.
 	maxAttempts = 6
+	// minBackoff and maxBackoff bound the mean pause between attempts that bring the
+	// caller nothing.
+	minBackoff = 25 * time.Millisecond
+	maxBackoff = 400 * time.Millisecond
 	// maxTerminations is the number of replicas that may terminate under one request
 	// before they have answered it.
 	maxTerminations = 2
 )
 
+// Backoff returns the pause before the next attempt at a request whose last attempts,
+// fruitless in number, have brought the caller nothing: exponential, with a random part
+// given as a number from 0 to 1.
+func Backoff(fruitless int, random float64) time.Duration {
+	if fruitless == 0 {
+		return 0
+	}
+	mean := maxBackoff
+	if fruitless < 5 { // below, minBackoff is doubled to maxBackoff
+		mean = minBackoff << (fruitless - 1)
+	}
+	return time.Duration((0.5 + random) * float64(mean))
+}
+
 // NextAttemptNumber returns the number of the attempt that follows last. Of several
 // attempts at the same request, an engine serves the one with the highest number.
 // When a caller reconnects, another daemon may resume the stream from the same
@@ -40,6 +58,7 @@
 	count             int      // failed attempts
 	runs              int      // attempts that may have run
 	terminations      int      // replicas that terminated before they answered
+	delivered         bool     // the caller has received a part of the response
 	maxRuns           int      // limit of runs and of the length of replicasRun
 	mayHaveRun        bool     // some attempt may have run
 	excluded          []string // addresses
@@ -149,6 +168,13 @@
 	attempts.terminations++
 }
 
+// RecordDelivery records that the caller has received a part of the response. The
+// request can no longer be refused, so from then on the number of attempts is limited
+// only by the deadline, the retry tokens and the replicas that may run the request.
+func (attempts *Attempts) RecordDelivery() {
+	attempts.delivered = true
+}
+
 // HandleFailure handles the failure of an attempt. The culprits are the addresses
 // known to be at fault. If another attempt is to follow, HandleFailure spends one
 // retry token from the budget and returns nil; otherwise it returns the failure
@@ -181,7 +207,7 @@
 	switch {
 	case !now.Before(attempts.deadline):
 		return attempts.FinalFailure(deadlineFailure(failure))
-	case attempts.count >= maxAttempts || attempts.runs >= attempts.maxRuns || attempts.terminations >= maxTerminations || !retryable(failure.Kind):
+	case attempts.count >= maxAttempts && !attempts.delivered || attempts.runs >= attempts.maxRuns || attempts.terminations >= maxTerminations || !retryable(failure.Kind):
 		return attempts.FinalFailure(failure)
 	case !budget.Spend():
 		return attempts.FinalFailure(&dragonflyhatch.Failure{
--- a/hatchretry/attempts_test.go
+++ b/hatchretry/attempts_test.go
@@ -64,3 +64,21 @@
 		convey.So(retries, convey.ShouldBeLessThanOrEqualTo, requests/10+maxBalance/retryCost)
 	})
 }
+
+func TestBackoff(t *testing.T) {
+	convey.Convey("The pause doubles with each attempt that brings nothing, up to a limit, and has a random part", t, func() {
+		for fruitless, mean := range []time.Duration{0, minBackoff, 2 * minBackoff, 4 * minBackoff, 8 * minBackoff, maxBackoff, maxBackoff} {
+			convey.So(Backoff(fruitless, 0.5), convey.ShouldEqual, mean)
+			convey.So(Backoff(fruitless, 0), convey.ShouldEqual, mean/2)
+		}
+	})
+	convey.Convey("Once the caller has received a part, the number of attempts is not limited, but their time is", t, func() {
+		now := time.Unix(100, 0)
+		attempts := NewAttempts(now.Add(time.Second), false)
+		attempts.RecordDelivery()
+		for range 2 * maxAttempts {
+			convey.So(attempts.HandleFailure(now, failure(dragonflyhatch.KindUpstreamUnavailable), nil, NewBudget()), convey.ShouldBeNil)
+		}
+		convey.So(attempts.HandleFailure(now.Add(time.Second), failure(dragonflyhatch.KindUpstreamUnavailable), nil, NewBudget()), convey.ShouldNotBeNil)
+	})
+}
