Begun streams: delayed parts do not end them, and long waits search less often

The same cause on a related path: a begun stream whose prompt part is delayed by the quarantine was refused, so closed in the middle, after the second that is meant for new requests. It now waits as for a pipeline; a part that is held back still ends it. Waits may now last long and concern many streams at once, so the pause between searches for a pipeline grows with the time waited.

--- a/hatchforward/quarantine.go
+++ b/hatchforward/quarantine.go
@@ -14,7 +14,7 @@
 	answeredEvents = 2
 	// clearancePollInterval is the pause between two decisions on a delayed request.
 	clearancePollInterval = 25 * time.Millisecond
-	// maxClearanceWait is how long a request is delayed before it is refused. Callers
+	// maxClearanceWait is how long a request that has not begun is delayed before it is refused. Callers
 	// abandon a silent stream after two seconds.
 	maxClearanceWait = time.Second
 )
@@ -108,7 +108,7 @@
 // awaitClearance waits while the request is delayed because of a part of its prompt. It
 // returns a failure if the request is refused.
 func (stream *stream) awaitClearance() error {
-	waitUntil := time.Now().Add(maxClearanceWait)
+	waitUntil := stream.waitUntil(maxClearanceWait)
 	for {
 		verdict := stream.checkQuarantine()
 		switch {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -17,15 +17,16 @@
 )
 
 const (
-	// defaultPipelineWait is how long a request waits for a pipeline while engines
-	// load lost layers again. Callers abandon a silent stream after two seconds.
+	// defaultPipelineWait is how long a request that has not begun waits for a pipeline
+	// while engines load lost layers again. Callers abandon a silent stream after two seconds.
 	defaultPipelineWait = 1500 * time.Millisecond
 	// pipelinePollInterval is the pause between searches for a pipeline. It is
 	// extended to pipelinePollFactor times the duration of a search, because with
 	// thousands of engines a search takes milliseconds and many requests wait at
-	// the same time.
+	// the same time, and to the time waited so far divided by pipelinePollGrowth.
 	pipelinePollInterval = 25 * time.Millisecond
 	pipelinePollFactor   = 50
+	pipelinePollGrowth   = 10
 	// streamBufferSize is the size in bytes of the buffer for reads of a stream.
 	streamBufferSize = 4 << 10
 )
@@ -149,15 +150,21 @@
 	return terminated
 }
 
+// waitUntil returns until when the stream may wait for something that it needs: for the
+// limit, but until its deadline once it has begun.
+func (stream *stream) waitUntil(limit time.Duration) time.Time {
+	if stream.headersSent {
+		return stream.deadline
+	}
+	return time.Now().Add(limit)
+}
+
 // awaitPipeline returns a pipeline. If there is none, it waits for one for up to
 // pipelineWait, but not for engines that have refused requests for longer. A stream that
 // has begun waits until its caller disconnects or its deadline passes, and then also uses
 // engines that have refused it.
 func (stream *stream) awaitPipeline() (*hatchpath.Pipeline, error) {
-	waitUntil := time.Now().Add(stream.forwarder.pipelineWait)
-	if stream.headersSent {
-		waitUntil = stream.deadline
-	}
+	began, waitUntil := time.Now(), stream.waitUntil(stream.forwarder.pipelineWait)
 	for {
 		started := time.Now()
 		pipeline, err := stream.choosePipeline()
@@ -170,10 +177,11 @@
 		if stream.headersSent {
 			stream.attempts.ClearExcluded()
 		}
+		pause := max(pipelinePollInterval, pipelinePollFactor*time.Since(started), started.Sub(began)/pipelinePollGrowth)
 		select {
 		case <-stream.ctx.Done():
 			return nil, err
-		case <-time.After(max(pipelinePollInterval, pipelinePollFactor*time.Since(started))):
+		case <-time.After(pause):
 		}
 	}
 }
