Begun streams: a test with lost engines, mutants

The refused engine of the first test was used again at once, so that it did not show the wait for a pipeline: the mutant begun-stream-without-pipeline survived.

--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -254,7 +254,16 @@
 			convey.So(got.complete, convey.ShouldBeTrue)
 			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
 		})
-		convey.Convey("A stream waits for a pipeline longer than a new request, also while the other engine refuses it", func() {
+		convey.Convey("A stream waits for a pipeline longer than a new request", func() {
+			one.setStream(goesSilent, 5)
+			node := fleet.view.NodeAt(two.address())
+			node.MarkUnreachable(time.Now())
+			time.AfterFunc(time.Second, func() { node.MarkReachable(time.Now()) })
+			got := sendRequest(newServer(t, fleet), "POST", "/stream/", "lost")
+			convey.So(got.complete, convey.ShouldBeTrue)
+			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
+		})
+		convey.Convey("A stream goes back to an engine that has refused it", func() {
 			two.setStream(refusesFull, 0)
 			time.AfterFunc(time.Second, func() { two.setStream(endsComplete, 0) })
 			got := sendRequest(newServer(t, fleet), "POST", "/stream/", "refused")
