The last log lines of a daemon are written before it exits

Cause: the log is written in the background (LineWriter), and main exits right after Run has logged "stopped"; the line was still in the queue. Nothing of an answer is lost there: responses are written by the connections' goroutines, and a connection counts as in use until net/http has written its response; the kernel sends the rest after the exit.

Change: LineWriter.Flush waits until the queued lines are written, at most 0.2 s, and the gateway command calls it at its end. A stop takes up to 0.2 s longer only if the output is blocked.

TestFlush is new, as is the method.

--- a/cmd/dragonflyhatch/gateway.go
+++ b/cmd/dragonflyhatch/gateway.go
@@ -26,6 +26,10 @@
 // collections.
 const gcPercent = 30
 
+// logFlushTimeout bounds how long the process waits at its end for its last log lines to
+// be written. It is less than what a stop leaves before SIGKILL.
+const logFlushTimeout = 200 * time.Millisecond
+
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "gateway",
@@ -60,7 +64,9 @@
 	if command.Bool("debug") {
 		level = slog.LevelDebug
 	}
-	logger := slog.New(slog.NewJSONHandler(hatchaudit.NewLineWriter(os.Stdout), &slog.HandlerOptions{Level: level}))
+	lines := hatchaudit.NewLineWriter(os.Stdout)
+	defer lines.Flush(logFlushTimeout)
+	logger := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMB) * (1 << 20)))
 	step := command.Duration("clock-step")
--- a/hatchaudit/lines.go
+++ b/hatchaudit/lines.go
@@ -20,6 +20,7 @@
 // full because the output is slow.
 type LineWriter struct {
 	lines     chan []byte
+	flushes   chan chan<- struct{} // closed once the lines queued before are written
 	dropped   atomic.Int64
 	second    atomic.Int64 // the second since epoch that lineCount belongs to
 	lineCount atomic.Int64 // lines counted against the rate limit in that second
@@ -28,7 +29,7 @@
 
 // NewLineWriter returns a writer that writes to out.
 func NewLineWriter(out io.Writer) *LineWriter {
-	writer := &LineWriter{lines: make(chan []byte, maxQueuedLines), epoch: time.Now()}
+	writer := &LineWriter{lines: make(chan []byte, maxQueuedLines), flushes: make(chan chan<- struct{}), epoch: time.Now()}
 	go writer.writeLines(out)
 	return writer
 }
@@ -56,12 +57,41 @@
 	return writer.lineCount.Add(1) <= maxLinesPerSecond
 }
 
+// Flush waits until the lines queued so far are written, but no longer than the timeout:
+// the output may be blocked. Without it a process loses its last lines when it exits.
+func (writer *LineWriter) Flush(timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	written := make(chan struct{})
+	select {
+	case writer.flushes <- written:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-written:
+	case <-timer.C:
+	}
+}
+
 func (writer *LineWriter) writeLines(out io.Writer) {
-	for line := range writer.lines {
-		if count := writer.dropped.Swap(0); count > 0 {
-			line = append(fmt.Appendf(nil, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", count), line...)
+	for {
+		select {
+		case line := <-writer.lines:
+			writer.writeLine(out, line)
+		case written := <-writer.flushes:
+			for range len(writer.lines) {
+				writer.writeLine(out, <-writer.lines)
+			}
+			close(written)
 		}
-		// An error is ignored: there is no other log to report it to.
-		_, _ = out.Write(line)
 	}
 }
+
+func (writer *LineWriter) writeLine(out io.Writer, line []byte) {
+	if count := writer.dropped.Swap(0); count > 0 {
+		line = append(fmt.Appendf(nil, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", count), line...)
+	}
+	// An error is ignored: there is no other log to report it to.
+	_, _ = out.Write(line)
+}
--- a/hatchaudit/lines_test.go
+++ b/hatchaudit/lines_test.go
@@ -49,3 +49,35 @@
 		convey.So(strings.Count(out.String(), "line\n"), convey.ShouldBeLessThanOrEqualTo, maxLinesPerSecond+1)
 	})
 }
+
+// TestFlush guards against lines that are lost at the end of the process, and against an
+// end that is held up by a blocked output.
+func TestFlush(t *testing.T) {
+	convey.Convey("Flush waits for a slow output", t, func() {
+		var out hatchstandin.OutputBuffer
+		lines := NewLineWriter(slowWriter{&out})
+		for range 10 {
+			lines.Write([]byte("line\n"))
+		}
+		lines.Write([]byte("last\n"))
+		lines.Flush(10 * time.Second)
+		convey.So(out.String(), convey.ShouldEndWith, "line\nlast\n")
+	})
+	convey.Convey("Flush does not wait longer than its timeout for a blocked output", t, func() {
+		reader, writer := io.Pipe()
+		defer reader.Close()
+		lines := NewLineWriter(writer)
+		lines.Write([]byte("line\n"))
+		start := time.Now()
+		lines.Flush(50 * time.Millisecond)
+		convey.So(time.Since(start), convey.ShouldBeBetween, 40*time.Millisecond, 5*time.Second)
+	})
+}
+
+// slowWriter is a blocking output.
+type slowWriter struct{ io.Writer }
+
+func (writer slowWriter) Write(data []byte) (int, error) {
+	time.Sleep(5 * time.Millisecond)
+	return writer.Writer.Write(data)
+}
