A response that is sent after SIGTERM closes its connection

A caller whose request was taken just before SIGTERM got its response without `Connection: close`, kept the connection to the stopping daemon, and met its close with a later request. Cause: the header was set when the request began, and not when the response was sent.

Change: the forwarder sets it directly before it sends the headers of a response, once the stop is announced. A stream whose headers were sent before SIGTERM cannot be told; its connection stays open until the end of the accept period.

"A response is the last one of its connection" (TestStop) failed before (the response did not ask for the close).

--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -304,6 +304,7 @@
 	body     string
 	complete bool // the body was received completely
 	latency  time.Duration
+	last     bool // the connection ends with the response
 }
 
 func sendRequest(server *httptest.Server, method, path, id string, headers ...string) callResult {
@@ -324,5 +325,5 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return callResult{response.StatusCode, response.Header, string(body), err == nil, time.Since(started)}
+	return callResult{response.StatusCode, response.Header, string(body), err == nil, time.Since(started), response.Close}
 }
--- a/hatchforward/response.go
+++ b/hatchforward/response.go
@@ -27,6 +27,7 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	text := errorResponse.Title + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
+	call.announceStop()
 	call.writer.WriteHeader(errorResponse.Status)
 	_, _ = call.writer.Write([]byte(text)) // fails only if the caller has disconnected
 	call.recordOutcome(errorResponse.Status, failure.Error())
@@ -47,6 +48,7 @@
 	if mayHaveBody(call.request.Method, replicaResponse.status) {
 		header.Set("Content-Length", strconv.Itoa(len(replicaResponse.body)))
 	}
+	call.announceStop()
 	call.writer.WriteHeader(replicaResponse.status)
 	_, _ = call.writer.Write(replicaResponse.body) // fails only if the caller has disconnected
 	call.recordOutcome(replicaResponse.status, "answered")
--- a/hatchforward/stop.go
+++ b/hatchforward/stop.go
@@ -23,6 +23,15 @@
 	time.AfterFunc(time.Until(at), func() { forwarder.cancelStopped() })
 }
 
+// announceStop makes the response to the caller the last one of its connection if the
+// daemon stops. It must be called directly before the headers are sent: the daemon may
+// have taken the request before it knew.
+func (call *call) announceStop() {
+	if call.forwarder.stopAt.Load() != nil {
+		call.writer.Header().Set("Connection", "close")
+	}
+}
+
 // checkStop returns a refusal if the daemon stops before the call is expected to end. A
 // call that may not be repeated must end before by its deadline.
 func (call *call) checkStop() error {
--- a/hatchforward/stop_test.go
+++ b/hatchforward/stop_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"dragonflyhatch/hatchretry"
 	"dragonflyhatch/hatchstandin"
 	"dragonflyhatch/platform"
 )
@@ -59,6 +60,27 @@
 			convey.So(forwarder.Cut(), convey.ShouldEqual, 1)
 			convey.So(log.String(), convey.ShouldNotContainSubstring, "caller disconnected")
 		})
+		convey.Convey("A response is the last one of its connection, also if the request was taken before the stop", func() {
+			forwarder, server, _ := start(newFleet("desk", replica))
+			replica.setBehaviour(answersLate)
+			time.AfterFunc(10*time.Millisecond, func() { forwarder.StopAt(time.Now().Add(testTimeout)) })
+			got := sendRequest(server, "GET", "/safe/", "s10")
+			convey.So(got.status, convey.ShouldEqual, 200)
+			convey.So(got.last, convey.ShouldBeTrue)
+		})
+		convey.Convey("A begun stream that waits for a retry token at the end is aborted and counted", func() {
+			log := new(hatchstandin.OutputBuffer)
+			engine.setStream(resetsInsideEvent, 5)
+			forwarder := New(newFleet("lm", engine, newFakeReplica(t, "e-2")), platform.Dialect{}, WithLogger(slog.New(slog.NewTextHandler(log, nil))),
+				WithRetryLimits(hatchretry.SharedLimits{Window: 10 * time.Second}))
+			server := httptest.NewServer(forwarder)
+			defer server.Close()
+			time.AfterFunc(50*time.Millisecond, func() { forwarder.StopAt(time.Now().Add(400 * time.Millisecond)) })
+			got := sendRequest(server, "POST", "/stream/", "s12", "Token-Count", "10,10")
+			convey.So(got.complete, convey.ShouldBeFalse)
+			convey.So(forwarder.Cut(), convey.ShouldEqual, 1)
+			convey.So(log.String(), convey.ShouldContainSubstring, errStopped.Error())
+		})
 		convey.Convey("A stream that is in progress at the end is aborted, and the log gives the reason", func() {
 			forwarder, server, log := start(newFleet("lm", engine))
 			engine.setStream(goesSilent, 5)
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -435,6 +435,7 @@
 func (stream *stream) writeEvents(replicaExchange *exchange, events []byte, lastEventID string) error {
 	if !stream.headersSent {
 		copyHeader(stream.writer.Header(), stream.forwarder.dialect.EndToEndHeaders(replicaExchange.response.Header))
+		stream.announceStop()
 		stream.writer.WriteHeader(replicaExchange.response.StatusCode)
 		stream.headersSent = true
 		stream.attempts.RecordDelivery()
--- a/hatchgateway/run.go
+++ b/hatchgateway/run.go
@@ -178,7 +178,7 @@
 	gateway.awaitPeer(ctx)
 	limits := gateway.Table().Limits
 	httpServer := &http.Server{
-		Handler:           gateway.callerHandler(),
+		Handler:           gateway.forwarder,
 		ReadHeaderTimeout: headerTimeout,
 	}
 	if limits.HeaderBytes > 0 {
@@ -206,17 +206,6 @@
 	}
 }
 
-// callerHandler forwards requests. While the daemon is stopping, responses ask
-// callers to close the connection.
-func (gateway *Gateway) callerHandler() http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if gateway.stopping.Load() {
-			writer.Header().Set("Connection", "close")
-		}
-		gateway.forwarder.ServeHTTP(writer, request)
-	})
-}
-
 // isReady reports whether the daemon accepts requests.
 func (gateway *Gateway) isReady() bool {
 	return gateway.Table() != nil && !gateway.stopping.Load()
