A draining daemon answers requests on open connections

A request that reached a stopping daemon after its accept period, on a kept connection or on one that had just been opened, was read, and its connection was closed without a response: the caller of an order cannot know whether it ran. Cause: net/http reads such a request and drops it once Server.Shutdown has been called (conn.serve, shuttingDown), also during the 100 ms in which the drain means to wait for it.

Change: the drain closes the listener only, and goes on to read requests on open connections until none is in use; the forwarder refuses them with 503, Retry-After 0 and Connection: close (StopAccepting). It does not run them: what is taken later than 3 s after SIGTERM and cut would count as LOST. Only then Shutdown is called, and again no connection in use awaited before Close.

Ruled out: a request that is passed on and whose connection the drain closes. A request read after Shutdown is dropped before it reaches the handler; one read before has called the hook that counts connections in use. TestCrossingRequests keeps that so (a read that is held until the drain has closed its connection; kept and new connections); it passed before too. TestRequestsDuringDrain failed before (unexpected EOF instead of the response), and "Requests after the last accepted one" (TestStop) without the refusal (200).

--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -71,6 +71,7 @@
 	quarantine   *hatchquarantine.Table
 
 	stopAt        atomic.Pointer[time.Time] // when the daemon stops; nil if it goes on
+	refusing      atomic.Bool               // requests are refused because the daemon stops
 	stopped       context.Context           // done when the daemon stops
 	cancelStopped context.CancelFunc
 	cut           atomic.Int32 // requests that ended because the daemon stopped
--- a/hatchforward/stop.go
+++ b/hatchforward/stop.go
@@ -23,6 +23,11 @@
 	time.AfterFunc(time.Until(at), func() { forwarder.cancelStopped() })
 }
 
+// StopAccepting makes the forwarder refuse all further requests.
+func (forwarder *Forwarder) StopAccepting() {
+	forwarder.refusing.Store(true)
+}
+
 // announceStop makes the response to the caller the last one of its connection if the
 // daemon stops. It must be called directly before the headers are sent: the daemon may
 // have taken the request before it knew.
@@ -42,6 +47,7 @@
 	left := time.Until(*stopAt)
 	switch {
 	case left <= 0:
+	case call.forwarder.refusing.Load():
 	case !call.route.Repeatable() && call.deadline.After(*stopAt):
 	case call.isStream() && call.expectedRunTime() > left:
 	default:
--- a/hatchforward/stop_test.go
+++ b/hatchforward/stop_test.go
@@ -68,6 +68,15 @@
 			convey.So(got.status, convey.ShouldEqual, 200)
 			convey.So(got.last, convey.ShouldBeTrue)
 		})
+		convey.Convey("Requests after the last accepted one are refused and not run", func() {
+			forwarder, server, _ := start(newFleet("desk", replica))
+			forwarder.StopAt(time.Now().Add(testTimeout))
+			forwarder.StopAccepting()
+			got := sendRequest(server, "GET", "/safe/", "s11")
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(got.last, convey.ShouldBeTrue)
+			convey.So(replica.runsOf("s11"), convey.ShouldEqual, 0)
+		})
 		convey.Convey("A begun stream that waits for a retry token at the end is aborted and counted", func() {
 			log := new(hatchstandin.OutputBuffer)
 			engine.setStream(resetsInsideEvent, 5)
--- a/hatchgateway/run.go
+++ b/hatchgateway/run.go
@@ -45,11 +45,18 @@
 type server struct {
 	name string
 	*http.Server
+	listener net.Listener
 
 	mu    sync.Mutex        // guards inUse
 	inUse map[net.Conn]bool // connections with a request that is not fully answered
 }
 
+func newServer(name string, httpServer *http.Server, listener net.Listener) *server {
+	server := &server{name: name, Server: httpServer, listener: listener, inUse: make(map[net.Conn]bool)}
+	httpServer.ConnState = server.trackState
+	return server
+}
+
 // trackState counts the connections in use. It is the server's ConnState hook, whose
 // calls for one connection are in order.
 func (server *server) trackState(conn net.Conn, state http.ConnState) {
@@ -63,22 +70,39 @@
 }
 
 // drain stops listening and waits until no connection is in use, at most until ctx
-// is done. It checks more often than http.Server.Shutdown, whose pauses grow to 0.5 s.
+// is done. Until then requests on open connections are served: http.Server.Shutdown would
+// close their connections without a response.
 func (server *server) drain(ctx context.Context) error {
-	result := make(chan error, 1)
-	go func() { result <- server.Shutdown(ctx) }()
+	if err := server.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) { // closed if the server has failed
+		return err
+	}
 	sleep(ctx, arrivalTime)
+	if err := server.awaitUnused(ctx); err != nil {
+		return err
+	}
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	_ = server.Shutdown(ended) // does not wait; from now on net/http serves no request that was not in use before
+	if err := server.awaitUnused(ctx); err != nil {
+		return err
+	}
+	return server.Close()
+}
+
+// awaitUnused waits until no connection is in use. It checks more often than
+// http.Server.Shutdown, whose pauses grow to 0.5 s.
+func (server *server) awaitUnused(ctx context.Context) error {
 	for {
+		server.mu.Lock()
+		inUse := len(server.inUse)
+		server.mu.Unlock()
+		if inUse == 0 {
+			return nil
+		}
 		select {
-		case err := <-result:
-			return err
+		case <-ctx.Done():
+			return ctx.Err()
 		case <-time.After(shutdownPollInterval):
-			server.mu.Lock()
-			inUse := len(server.inUse)
-			server.mu.Unlock()
-			if inUse == 0 {
-				return server.Close()
-			}
 		}
 	}
 }
@@ -153,10 +177,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	started := &server{name: name, Server: httpServer, inUse: make(map[net.Conn]bool)}
-	httpServer.ConnState = started.trackState
+	started := newServer(name, httpServer, listener)
 	go func() {
-		if err := started.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := started.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			gateway.logger.Error("server failed", "name", name, "error", err)
 			select {
 			case gateway.serverFailed <- errors.Wrapf(err, "server for %s", name):
@@ -256,6 +279,7 @@
 	time.Sleep(time.Until(start.Add(time.Duration(acceptFraction * float64(grace)))))
 	deadlineCtx, cancel := context.WithDeadline(context.Background(), start.Add(grace-shutdownMargin))
 	defer cancel()
+	gateway.forwarder.StopAccepting()
 	if err := callers.drain(deadlineCtx); err != nil {
 		gateway.logger.Error("graceful stop timed out, closing remaining connections", "elapsed", time.Since(start), "error", err)
 		return errors.CombineErrors(err, callers.Close())
