Only the latest process at an address is used; a rejected pipeline is tried elsewhere

Cause: four engines crash at 24.0 s and start again from 26.7 s on with new ids at their old addresses. The store is down from 18 to 26 s, so that the registrations of the ended processes stay until 29.61 s and later. When the new process has layers, both count as engines, as a probe of the address finds either alive, and a pipeline may use both: it names the address twice, which the head answers with 400.

Evidence: all 17 of these requests before revision 257 have the head 10.2.64.31 (layers 0 to 4). The first come 9 ms after revision 251 arrived, with which 10.2.64.44 is registered for 39 to 52 (ended) and 26 to 32 (new). Revision 257 gives the new process at 10.2.64.28 the layers 0 to 7, beside 24 to 32 of the ended one: 110 of the 111 from then on have that head. The stages themselves are not in the log; a head that rejects them now logs them.

Ruled out by these figures: garble (ended at 13.3 s); a first part that is not the head's (the address written is that of the first stage); the search for the path, which never takes one node twice. More than 32 stages would need a log of the stages; no 400 is left that needs another cause.

Changed: a view leaves out a replica at whose address another process started later (born, then the revision). That holds for plain services, the placement of layers and IsGone too. A 400 with Not-Executed to a request with an id and stages that the router chose is tried elsewhere: it has not run (PROTOCOL.md, Replicas), and the reason may be the stages. A second one is passed on, as the request itself is then the likely reason; a stream that has begun is never given up for it. Without another engine the caller gets 503, which is true.

TestRebuild and TestPoll registered several live replicas at one address, which the protocol does not have. They now have one address each; what they assert is unchanged.

--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -46,6 +46,7 @@
 	trial       bool // the attempt is a trial of a suspected part
 
 	slotDenied   bool // a replica had no slot for the request within its limit
+	rejected     bool // a head has rejected the request, or its stages, as invalid
 	terminations int  // that counted against a part of the prompt when the attempt began
 }
 
@@ -331,6 +332,13 @@
 			Detail: culprit + " refused with status " + strconv.Itoa(replicaResponse.status),
 		}, []string{culprit}
 	}
+	if stream.mayHaveInvalidStages(pipeline, replicaResponse) {
+		stream.rejected = true
+		stream.logger.Warn("request rejected", "by", culprit, "stages", pipeline.Stages)
+		return &dragonflyhatch.Failure{
+			Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: culprit + " rejected the request or its stages",
+		}, []string{culprit}
+	}
 	if stream.headersSent || replicaResponse.status >= http.StatusInternalServerError && stream.route.Repeatable() || isRefusalStatus(replicaResponse.status) {
 		return &dragonflyhatch.Failure{
 			Kind:   dragonflyhatch.KindUpstreamLost,
@@ -344,6 +352,15 @@
 	return nil, nil
 }
 
+// mayHaveInvalidStages reports whether the head states that it has not run the request
+// because it is invalid, and the stages, which the caller has not chosen, may be the reason.
+// If a second head states the same of other stages, it is the request itself, unless a
+// replica has begun to answer it.
+func (stream *stream) mayHaveInvalidStages(pipeline *hatchpath.Pipeline, replicaResponse *replicaResponse) bool {
+	return replicaResponse.status == http.StatusBadRequest && replicaResponse.info.NotRun &&
+		len(pipeline.Stages) > 0 && stream.info.ID != "" && (stream.headersSent || !stream.rejected)
+}
+
 // nodeAt returns the pipeline's node with the address, or nil.
 func (stream *stream) nodeAt(pipeline *hatchpath.Pipeline, address string) *hatchpath.Node {
 	for _, node := range pipeline.Nodes {
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -29,6 +29,7 @@
 	endsInsideEvent                   // ends the body regularly inside an event
 	goesSilent                        // sends nothing more and refuses new connections
 	refusesFull                       // refuses the request because it is full
+	rejectsStages                     // states that the request is invalid and was not run
 )
 
 // setDelayedStream makes the replica stream all events after a delay.
@@ -54,6 +55,10 @@
 			io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAt-Server: "+replica.address()+"\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
+		if how == rejectsStages {
+			io.WriteString(conn, "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
 		id := request.Header.Get("Attempt-Id")
 		replica.mu.Lock()
 		replica.runs[id]++
@@ -264,6 +269,35 @@
 	})
 }
 
+// TestRejectedStages guards against callers that get a 400 for a proper request, because
+// the head does not accept the stages that the router has chosen.
+func TestRejectedStages(t *testing.T) {
+	convey.Convey("Given an engine that rejects its stages", t, func() {
+		one, two := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2")
+		one.setStream(rejectsStages, 0)
+		two.setStream(endsComplete, 0)
+		server := newServer(t, newFleet("lm", one, two))
+		convey.Convey("A stream goes to the other engine", func() {
+			got := sendRequest(server, "POST", "/stream/", "s")
+			convey.So(got.status, convey.ShouldEqual, http.StatusOK)
+			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
+		})
+		convey.Convey("A request that both engines reject is invalid itself", func() {
+			two.setStream(rejectsStages, 0)
+			convey.So(sendRequest(server, "POST", "/stream/", "invalid").status, convey.ShouldEqual, http.StatusBadRequest)
+			convey.So(two.requestCount, convey.ShouldEqual, 1)
+		})
+		convey.Convey("A request that may go nowhere else is refused, as it has not run", func() {
+			server := newServer(t, newFleet("lm", one))
+			convey.So(sendRequest(server, "POST", "/stream/", "alone").status, convey.ShouldEqual, http.StatusServiceUnavailable)
+		})
+		convey.Convey("A request without an id gets the engine's answer, which is about the missing id", func() {
+			convey.So(sendRequest(server, "POST", "/stream/", "").status, convey.ShouldEqual, http.StatusBadRequest)
+			convey.So(two.requestCount, convey.ShouldEqual, 0)
+		})
+	})
+}
+
 func TestStreamsKeepToTheirReplicas(t *testing.T) {
 	convey.Convey("Given a route whose requests may run on two replicas, and four engines", t, func() {
 		engines := []*fakeReplica{newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2"), newFakeReplica(t, "e-3"), newFakeReplica(t, "e-4")}
--- a/hatchgateway/poll_test.go
+++ b/hatchgateway/poll_test.go
@@ -22,14 +22,14 @@
 		defer server.Close()
 		ctx := context.Background()
 		gateway := New(&platform.Settings{Host: "b", PeerAddress: "127.0.0.1:1", StoreAddress: server.Listener.Addr().String()})
-		register := func(id string) {
+		register := func(id, address string) {
 			_, err := gateway.store.Create(ctx, platform.ReplicaKind+"/"+id,
-				[]byte(`{"service":"desk","address":"127.0.0.1:9","zone":"a","slots":4,"state":"ready"}`))
+				[]byte(`{"service":"desk","address":"`+address+`","zone":"a","slots":4,"state":"ready"}`))
 			convey.So(err, convey.ShouldBeNil)
 		}
 		_, err := gateway.store.Create(ctx, platform.RoutingName, []byte(`{"version":1}`))
 		convey.So(err, convey.ShouldBeNil)
-		register("r-1")
+		register("r-1", "127.0.0.1:9")
 		lastVersion := gateway.pollOnce(ctx, 0, true)
 		convey.So(gateway.Table().Version, convey.ShouldEqual, 1)
 		convey.So(len(gateway.View().Replicas()), convey.ShouldEqual, 1)
@@ -47,7 +47,7 @@
 			convey.So(reads()-before, convey.ShouldEqual, 1)
 		})
 		convey.Convey("A poll applies a new replica and a new configuration", func() {
-			register("r-2")
+			register("r-2", "127.0.0.1:10")
 			lastVersion = gateway.pollOnce(ctx, lastVersion, true)
 			convey.So(len(gateway.View().Replicas()), convey.ShouldEqual, 2)
 			_, err := gateway.store.Update(ctx, platform.RoutingName, 0, []byte(`{"version":2}`))
--- a/hatchgateway/rebuild_test.go
+++ b/hatchgateway/rebuild_test.go
@@ -18,7 +18,7 @@
 		change := func(number int) {
 			gateway.mu.Lock()
 			defer gateway.mu.Unlock()
-			gateway.replicas.put(dragonflyhatch.Replica{ID: fmt.Sprint("r-", number), Service: "desk", Address: "127.0.0.1:9", Revision: uint64(number)})
+			gateway.replicas.put(dragonflyhatch.Replica{ID: fmt.Sprint("r-", number), Service: "desk", Address: fmt.Sprint("127.0.0.1:", number), Revision: uint64(number)})
 			gateway.requestRebuild()
 		}
 		viewSize := func() int { return len(gateway.View().Replicas()) }
--- a/hatchpath/pipeline_test.go
+++ b/hatchpath/pipeline_test.go
@@ -158,6 +158,47 @@
 	})
 }
 
+// TestReplacedReplica guards against pipelines that name an address twice, which its engine
+// rejects, while the registration of the process that ran there before has not expired.
+func TestReplacedReplica(t *testing.T) {
+	convey.Convey("Given two registrations with one address, whose layers differ", t, func() {
+		before, after := engine("a2", "a", "fast", 0, 5), engine("a1", "a", "fast", 5, 10)
+		after.Address = before.Address
+		before.Started, after.Started = 1000, 2000
+		before.Revision, after.Revision = 8, 7 // the store may apply a write late
+		other := engine("a3", "a", "slow", 0, 5)
+		choose := func(replicas ...dragonflyhatch.Replica) (*View, *Pipeline, error) {
+			view := NewView(replicas, testServices(10), NewHealthSet())
+			pipeline, err := view.Pipeline(start, query())
+			return view, pipeline, err
+		}
+		convey.Convey("Only the process that started last is used", func() {
+			view, pipeline, err := choose(before, after, other)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "a3")
+			convey.So(pipeline.Nodes[1].ID, convey.ShouldEqual, "a1")
+			convey.So(view.NodeAt(before.Address).ID, convey.ShouldEqual, "a1")
+			_, _, err = choose(before, after)
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(dragonflyhatch.KindOf(err), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
+		})
+		convey.Convey("While the later process is leaving, neither is used", func() {
+			after.Leaving = true
+			view, _, err := choose(before, after, other)
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(dragonflyhatch.KindOf(err), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
+			convey.So(view.NodeAt(before.Address), convey.ShouldBeNil)
+		})
+		convey.Convey("The earlier process is not used for its own service either", func() {
+			before.Service, after.Held = "desk", dragonflyhatch.HeldLayers{}
+			view, _, _ := choose(before, after, other)
+			_, err := view.Service(start, Query{Service: "desk", Random: rand.New(rand.NewPCG(1, 2))})
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(dragonflyhatch.KindOf(err), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
+		})
+	})
+}
+
 // TestEveryLayerOnce checks pipelines chosen among random engines: each layer must
 // be run once and in order, by usable engines of one version, none of them twice. A
 // pipeline must be found if and only if coverable, the oracle of the test, finds that
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -33,8 +33,9 @@
 	versions []int // of the model's weights, newest first
 }
 
-// NewView returns a View of the replicas. Services holds the configured services by
-// name; those with a model are served by pipelines of engines.
+// NewView returns a View of the replicas, without those whose address another one has
+// taken. Services holds the configured services by name; those with a model are served by
+// pipelines of engines.
 func NewView(replicas []dragonflyhatch.Replica, services map[string]dragonflyhatch.UpstreamService, healths *HealthSet) *View {
 	view := &View{
 		replicas:  slices.Clone(replicas),
@@ -45,6 +46,9 @@
 	slices.SortFunc(view.replicas, func(a, b dragonflyhatch.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	for _, replica := range view.replicas {
 		view.version = max(view.version, replica.Revision)
+	}
+	view.replicas = removeReplaced(view.replicas)
+	for _, replica := range view.replicas {
 		if replica.Leaving {
 			continue
 		}
@@ -60,6 +64,20 @@
 	return view
 }
 
+// removeReplaced removes the replicas at whose address another process started later. The
+// registration of a process that has ended expires seconds after that; with both of them a
+// pipeline could name the address twice.
+func removeReplaced(replicas []dragonflyhatch.Replica) []dragonflyhatch.Replica {
+	latest := make(map[string]dragonflyhatch.Replica, len(replicas))
+	for _, replica := range replicas {
+		other, ok := latest[replica.Address]
+		if !ok || cmp.Or(cmp.Compare(replica.Started, other.Started), cmp.Compare(replica.Revision, other.Revision)) > 0 {
+			latest[replica.Address] = replica
+		}
+	}
+	return slices.DeleteFunc(replicas, func(replica dragonflyhatch.Replica) bool { return latest[replica.Address].ID != replica.ID })
+}
+
 func newEngineSet(model *dragonflyhatch.EngineModel, nodes []*Node) *engineSet {
 	set := &engineSet{model: model, bySite: make(map[string][]*Node)}
 	for _, node := range nodes {
@@ -81,7 +99,7 @@
 }
 
 // Replicas returns all replicas in order of their ids, including those that are
-// leaving.
+// leaving, but without those whose address another one has taken.
 func (view *View) Replicas() []dragonflyhatch.Replica {
 	return view.replicas
 }
