--- a/hatchpath/pipeline_test.go
+++ b/hatchpath/pipeline_test.go
@@ -189,6 +189,12 @@
 			convey.So(dragonflyhatch.KindOf(err), convey.ShouldEqual, dragonflyhatch.KindUpstreamUnavailable)
 			convey.So(view.NodeAt(before.Address), convey.ShouldBeNil)
 		})
+		convey.Convey("A registration of a service that is not configured replaces none", func() {
+			after.Service = "unknown"
+			_, pipeline, err := choose(before, after, engine("a4", "a", "fast", 5, 10))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(pipeline.Nodes[0].ID, convey.ShouldEqual, "a2")
+		})
 		convey.Convey("The earlier process is not used for its own service either", func() {
 			before.Service, after.Held = "desk", dragonflyhatch.HeldLayers{}
 			view, _, _ := choose(before, after, other)
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -47,7 +47,7 @@
 	for _, replica := range view.replicas {
 		view.version = max(view.version, replica.Revision)
 	}
-	view.replicas = removeReplaced(view.replicas)
+	view.replicas = removeReplaced(view.replicas, services)
 	for _, replica := range view.replicas {
 		if replica.Leaving {
 			continue
@@ -64,18 +64,24 @@
 	return view
 }
 
-// removeReplaced removes the replicas at whose address another process started later. The
-// registration of a process that has ended expires seconds after that; with both of them a
-// pipeline could name the address twice.
-func removeReplaced(replicas []dragonflyhatch.Replica) []dragonflyhatch.Replica {
+// removeReplaced removes the replicas at whose address a process of a configured service
+// started later. The registration of a process that has ended expires seconds after that;
+// with both of them a pipeline could name the address twice.
+func removeReplaced(replicas []dragonflyhatch.Replica, services map[string]dragonflyhatch.UpstreamService) []dragonflyhatch.Replica {
 	latest := make(map[string]dragonflyhatch.Replica, len(replicas))
 	for _, replica := range replicas {
+		if _, ok := services[replica.Service]; !ok {
+			continue
+		}
 		other, ok := latest[replica.Address]
 		if !ok || cmp.Or(cmp.Compare(replica.Started, other.Started), cmp.Compare(replica.Revision, other.Revision)) > 0 {
 			latest[replica.Address] = replica
 		}
 	}
-	return slices.DeleteFunc(replicas, func(replica dragonflyhatch.Replica) bool { return latest[replica.Address].ID != replica.ID })
+	return slices.DeleteFunc(replicas, func(replica dragonflyhatch.Replica) bool {
+		last, ok := latest[replica.Address]
+		return ok && last.ID != replica.ID
+	})
 }
 
 func newEngineSet(model *dragonflyhatch.EngineModel, nodes []*Node) *engineSet {
