TestProbes judges only trials in which the machine was on time

Cause: the test's own clock. Traced in a trial with the race detector beside one busy process, load average 30: both fakes were to answer 32.5 ms after the dial and woke up after 35.7 and 36.0 ms, past the 35 ms (probeTimeout and probeGrace) that a probe waits; the probes ended after 35.6 and 35.8 ms and the control answered. An answer that late is not owed a hearing. Ruled out: an answer that was in time and not heard; the fakes' answers came after both probes ended. Change: the fake dialer measures when it was called, when it answered and when the probe ended. A trial in which one of these was late, or an engine of the trial was not dialed, is repeated, at most 100 times, and the test fails if none was on time. The first timely trial is judged by the same assertions as before. That no engine is found dead when none answers holds for late trials too. The case without processor time is judged as before, in one trial. No product code changes.

--- a/hatchforward/prober_test.go
+++ b/hatchforward/prober_test.go
@@ -16,58 +16,140 @@
 // fakeDialer replaces the dialer of a prober. The test sets which addresses are
 // silent and how late the others answer.
 type fakeDialer struct {
-	mu     sync.Mutex
-	silent map[string]bool
-	delay  time.Duration // until an address that is not silent answers
+	silent  map[string]bool
+	delay   time.Duration // until an address that is not silent answers
+	control string        // address that is dialed after the others
+	started time.Time     // of the check
+
+	mu      sync.Mutex
+	dialed  map[string]bool
+	running int  // dials in progress
+	late    bool // this machine delayed a dial, an answer or the end of a probe
 }
 
 func (dialer *fakeDialer) dial(ctx context.Context, address string) probeOutcome {
+	dialed := time.Now()
 	dialer.mu.Lock()
-	silent, delay := dialer.silent[address], dialer.delay
+	first := !dialer.dialed[address]
+	dialer.dialed[address] = true
+	dialer.running++
 	dialer.mu.Unlock()
-	if silent {
+	defer func() {
+		dialer.mu.Lock()
+		defer dialer.mu.Unlock()
+		dialer.running--
+	}()
+	dialer.recordLate(first && address != dialer.control && dialed.Sub(dialer.started) > maxProbeDelay)
+	if dialer.silent[address] {
 		<-ctx.Done()
+		// The second dial of a probe says nothing about its start.
+		dialer.recordLate(first && time.Since(dialed) > probeTimeout+probeGrace+maxProbeDelay)
 		return probeSilent
 	}
-	time.Sleep(delay)
+	dialer.recordLate(first && ctx.Err() != nil)
+	time.Sleep(dialer.delay)
+	dialer.recordLate(first && dialer.delay > 0 && time.Since(dialer.started) > probeTimeout+probeGrace*3/4)
 	return probeAnswered
 }
 
+func (dialer *fakeDialer) recordLate(late bool) {
+	dialer.mu.Lock()
+	defer dialer.mu.Unlock()
+	dialer.late = dialer.late || late
+}
+
+// wasLate reports, when the dials have ended, whether this machine was late. All of the
+// replicas must have been dialed.
+func (dialer *fakeDialer) wasLate(replicas []*fakeReplica) bool {
+	for {
+		dialer.mu.Lock()
+		running, late := dialer.running, dialer.late
+		for _, replica := range replicas {
+			late = late || !dialer.dialed[replica.address()]
+		}
+		dialer.mu.Unlock()
+		if running == 0 {
+			return late
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// probeTrial is a check of a pipeline of two engines, with a third engine outside it.
+type probeTrial struct {
+	dialer   *fakeDialer
+	pipeline []*hatchpath.Node
+	culprits []string
+}
+
+// runProbeTrial runs a check in which the first engines, silent in number, are silent
+// and the others answer after the delay.
+func runProbeTrial(replicas []*fakeReplica, silent int, delay time.Duration) *probeTrial {
+	fleet := newFleet("lm", replicas...)
+	trial := &probeTrial{dialer: &fakeDialer{
+		silent: make(map[string]bool), delay: delay, control: replicas[2].address(), dialed: make(map[string]bool),
+	}}
+	for _, replica := range replicas[:silent] {
+		trial.dialer.silent[replica.address()] = true
+	}
+	prober := newProber(fleet)
+	prober.dial = trial.dialer.dial
+	for _, replica := range replicas[:2] {
+		trial.pipeline = append(trial.pipeline, fleet.view.NodeAt(replica.address()))
+	}
+	fleet.view.NodeAt(replicas[2].address()).MarkReachable(time.Now())
+	trial.dialer.started = time.Now()
+	trial.culprits = prober.check(context.Background(), trial.pipeline, trial.pipeline[0])
+	return trial
+}
+
+// runTimelyProbeTrial is runProbeTrial in which this machine was on time. A delayed
+// check may come to no finding, and a fake that wakes up late has not answered in
+// time: such a trial shows nothing and is repeated.
+func runTimelyProbeTrial(replicas []*fakeReplica, silent int, delay time.Duration) *probeTrial {
+	dialed := replicas[:2]
+	if silent >= len(dialed) { // the third is the control
+		dialed = replicas
+	}
+	for range 100 {
+		trial := runProbeTrial(replicas, silent, delay)
+		foundDead := silent == len(replicas) && len(trial.culprits) > 0 // wrong on a late machine too
+		if foundDead || !trial.dialer.wasLate(dialed) {
+			return trial
+		}
+	}
+	return nil
+}
+
+// TestProbes guards against live replicas that are found dead, and dead ones that are
+// not.
 func TestProbes(t *testing.T) {
 	convey.Convey("Given a pipeline of two engines, and a third engine outside it", t, func() {
-		one, two, three := newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2"), newFakeReplica(t, "e-3")
-		fleet := newFleet("lm", one, two, three)
-		dialer := &fakeDialer{silent: make(map[string]bool)}
-		prober := newProber(fleet)
-		prober.dial = dialer.dial
-		pipeline := []*hatchpath.Node{fleet.view.NodeAt(one.address()), fleet.view.NodeAt(two.address())}
+		replicas := []*fakeReplica{newFakeReplica(t, "e-1"), newFakeReplica(t, "e-2"), newFakeReplica(t, "e-3")}
 		time.Sleep(aliveValidity) // all nodes count as alive for this long after the start of the process
-		fleet.view.NodeAt(three.address()).MarkReachable(time.Now())
-		check := func() []string { return prober.check(context.Background(), pipeline, pipeline[0]) }
+		run := func(silent int, delay time.Duration) *probeTrial {
+			trial := runTimelyProbeTrial(replicas, silent, delay)
+			convey.So(trial, convey.ShouldNotBeNil)
+			return trial
+		}
 		convey.Convey("An engine that is silent while the other one answers is dead", func() {
-			dialer.silent[one.address()] = true
-			convey.So(check(), convey.ShouldResemble, []string{one.address()})
-			convey.So(pipeline[0].DownFor(time.Now().Add(time.Millisecond)), convey.ShouldBeGreaterThan, 0)
+			trial := run(1, 0)
+			convey.So(trial.culprits, convey.ShouldResemble, []string{replicas[0].address()})
+			convey.So(trial.pipeline[0].DownFor(time.Now().Add(time.Millisecond)), convey.ShouldBeGreaterThan, 0)
 		})
 		convey.Convey("Both engines are dead if both are silent and the third one answers", func() {
-			dialer.silent[one.address()], dialer.silent[two.address()] = true, true
-			convey.So(check(), convey.ShouldHaveLength, 2)
+			convey.So(run(2, 0).culprits, convey.ShouldHaveLength, 2)
 		})
 		convey.Convey("If no engine answers, the daemon's own network link is at fault and no engine is dead", func() {
-			for _, replica := range []*fakeReplica{one, two, three} {
-				dialer.silent[replica.address()] = true
-			}
-			convey.So(check(), convey.ShouldBeEmpty)
+			convey.So(run(3, 0).culprits, convey.ShouldBeEmpty)
 		})
 		convey.Convey("An answer that arrives just after the timeout counts", func() {
-			dialer.delay = probeTimeout + probeGrace/2
-			convey.So(check(), convey.ShouldBeEmpty)
+			convey.So(run(0, probeTimeout+probeGrace/2).culprits, convey.ShouldBeEmpty)
 		})
 		convey.Convey("Silence is inconclusive while the daemon does not get processor time", func() {
-			dialer.silent[one.address()] = true
 			release := occupyProcessor()
 			defer release()
-			convey.So(check(), convey.ShouldBeEmpty)
+			convey.So(runProbeTrial(replicas, 1, 0).culprits, convey.ShouldBeEmpty)
 		})
 	})
 }
