TestLeavingReplicas has its leaving replica chosen first

Cause: the test, in two ways, both of which the product leaves open. Costs of replicas vary at random by a tenth, so that the first request goes to the other replica now and then; that one then responds faster than the 5 ms assumed for an untried one, and the leaving replica is not tried at all. And a request that takes longer than 60 ms is hedged: the slower attempt is cancelled before its head is read. Change: the first request finds the leaving replica alone, on a route that is not hedged. The 30 requests after it are those of before, with the same assertions. No product code changes.

--- a/hatchforward/badreplica_test.go
+++ b/hatchforward/badreplica_test.go
@@ -213,6 +213,8 @@
 	})
 }
 
+// TestLeavingReplicas guards against requests to a replica that has stated that it is
+// leaving.
 func TestLeavingReplicas(t *testing.T) {
 	leaving := "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nServer-Leaving: 1\r\nContent-Length: 5\r\n\r\nhello"
 	convey.Convey("A replica that states that it is leaving gets no further request", t, func() {
@@ -220,6 +222,12 @@
 		one.setRaw(func(conn net.Conn, _ string) { io.WriteString(conn, leaving) })
 		fleet := newFleet("desk", one, two)
 		server := newServer(t, fleet)
+		// The first request finds the leaving replica alone, and its route has no hedge.
+		// Otherwise the choice and the hedge may leave that replica without a response.
+		both := fleet.view
+		fleet.view = hatchpath.NewView(both.Replicas()[:1], fleet.table.Services, fleet.healths)
+		convey.So(sendRequest(server, "POST", "/unsafe/", "first").status, convey.ShouldEqual, 200)
+		fleet.view = both
 		for i := range 30 {
 			convey.So(sendRequest(server, "GET", "/safe/", fmt.Sprint("l", i)).status, convey.ShouldEqual, 200)
 		}
