--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -33,11 +33,11 @@
 	// lost its connection: it is no longer registered, or several daemons cannot
 	// reach it.
 	IsGone(address string) bool
-	// RequestRetryTokens requests retry tokens of the service from other daemons. It
-	// calls credit with the number that each grants; these tokens must be spent
-	// immediately.
+	// RequestRetryTokens requests retry tokens of the service, the wanted number in all,
+	// from other daemons. It calls credit with the number that each grants; these tokens
+	// must be spent immediately.
 	// It returns after the first grant, or when there will be none.
-	RequestRetryTokens(service string, credit func(granted int))
+	RequestRetryTokens(service string, wanted int, credit func(granted int))
 	// ReportUnreachable is called when a replica is found to be unreachable.
 	ReportUnreachable(replica dragonflyhatch.Replica)
 	// ReportLeaving is called when a replica first states that it is leaving.
@@ -71,9 +71,11 @@
 	quarantine   *hatchquarantine.Table
 
 	stopAt        atomic.Pointer[time.Time] // when the daemon stops; nil if it goes on
+	refusing      atomic.Bool               // requests are refused because the daemon stops
 	stopped       context.Context           // done when the daemon stops
 	cancelStopped context.CancelFunc
 	cut           atomic.Int32 // requests that ended because the daemon stopped
+	aborted       atomic.Int32 // streams that were aborted for another reason while it was stopping
 
 	mu          sync.Mutex
 	budgets     map[string]*serviceBudget // by service
--- a/hatchforward/stop.go
+++ b/hatchforward/stop.go
@@ -23,6 +23,20 @@
 	time.AfterFunc(time.Until(at), func() { forwarder.cancelStopped() })
 }
 
+// StopAccepting makes the forwarder refuse all further requests.
+func (forwarder *Forwarder) StopAccepting() {
+	forwarder.refusing.Store(true)
+}
+
+// announceStop makes the response to the caller the last one of its connection if the
+// daemon stops. It must be called directly before the headers are sent: the daemon may
+// have taken the request before it knew.
+func (call *call) announceStop() {
+	if call.forwarder.stopAt.Load() != nil {
+		call.writer.Header().Set("Connection", "close")
+	}
+}
+
 // checkStop returns a refusal if the daemon stops before the call is expected to end. A
 // call that may not be repeated must end before by its deadline.
 func (call *call) checkStop() error {
@@ -33,6 +47,7 @@
 	left := time.Until(*stopAt)
 	switch {
 	case left <= 0:
+	case call.forwarder.refusing.Load():
 	case !call.route.Repeatable() && call.deadline.After(*stopAt):
 	case call.isStream() && call.expectedRunTime() > left:
 	default:
@@ -103,6 +118,12 @@
 	return int(forwarder.cut.Load())
 }
 
+// Aborted returns the number of streams that were aborted for another reason while the
+// daemon was stopping.
+func (forwarder *Forwarder) Aborted() int {
+	return int(forwarder.aborted.Load())
+}
+
 // interruptReads makes reads of the request's body fail when the daemon stops.
 func (forwarder *Forwarder) interruptReads(controller *http.ResponseController) (release func() bool) {
 	return context.AfterFunc(forwarder.stopped, func() {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -17,15 +17,16 @@
 )
 
 const (
-	// defaultPipelineWait is how long a request waits for a pipeline while engines
-	// load lost layers again. Callers abandon a silent stream after two seconds.
+	// defaultPipelineWait is how long a request that has not begun waits for a pipeline
+	// while engines load lost layers again. Callers abandon a silent stream after two seconds.
 	defaultPipelineWait = 1500 * time.Millisecond
 	// pipelinePollInterval is the pause between searches for a pipeline. It is
 	// extended to pipelinePollFactor times the duration of a search, because with
 	// thousands of engines a search takes milliseconds and many requests wait at
-	// the same time.
+	// the same time, and to the time waited so far divided by pipelinePollGrowth.
 	pipelinePollInterval = 25 * time.Millisecond
 	pipelinePollFactor   = 50
+	pipelinePollGrowth   = 10
 	// streamBufferSize is the size in bytes of the buffer for reads of a stream.
 	streamBufferSize = 4 << 10
 )
@@ -42,19 +43,35 @@
 	flusher     http.Flusher
 	prepaid     bool // the watch has spent the retry token of the next attempt
 	events      int  // reads with events of the latest attempt
+	fruitless   int  // consecutive failed attempts without events
 	trial       bool // the attempt is a trial of a suspected part
 
 	slotDenied   bool // a replica had no slot for the request within its limit
+	rejected     bool // a head has rejected the request, or its stages, as invalid
 	terminations int  // that counted against a part of the prompt when the attempt began
 }
 
-// Spend takes one retry token, unless the watch has done so already.
+// Spend takes one retry token, unless the watch has done so already. A stream that has
+// begun cannot be refused any more: it waits for a pipeline and a token, until its caller
+// disconnects or its deadline passes.
 func (stream *stream) Spend() bool {
-	if stream.prepaid {
+	switch {
+	case stream.prepaid:
 		stream.prepaid = false
 		return true
+	case !stream.headersSent:
+		return stream.call.Spend()
+	}
+	started := time.Now()
+	sleep(stream.ctx, hatchretry.Backoff(stream.fruitless, stream.forwarder.random.Float64()))
+	if _, err := stream.awaitPipeline(); err != nil {
+		return false
+	}
+	ok := stream.forwarder.awaitToken(stream.ctx, stream.service.Name)
+	if waited := time.Since(started); waited > tokenPollInterval {
+		stream.logger.Info("retry delayed", "waited", waited, "service", stream.service.Name, "granted", ok)
 	}
-	return stream.call.Spend()
+	return ok
 }
 
 // serveStream forwards the events of a pipeline. When the pipeline fails, the
@@ -69,7 +86,7 @@
 		}
 		pipeline, err := stream.awaitPipeline()
 		if err != nil {
-			stream.endWithFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err)))
+			stream.endWithFailure(stream.finalFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err))))
 			return
 		}
 		stream.chosenAddress = pipeline.Nodes[0].Address
@@ -95,7 +112,7 @@
 			return
 		}
 		if err := stream.handlePipelineFailure(pipeline, failure, culprits); err != nil {
-			stream.endWithFailure(err)
+			stream.endWithFailure(stream.finalFailure(err))
 			return
 		}
 		if stream.headersSent {
@@ -114,8 +131,12 @@
 	if !stream.route.Repeatable() {
 		return stream.handleFailure(now, failure, culprits...)
 	}
+	stream.fruitless++
+	if stream.events > 0 {
+		stream.fruitless = 0
+	}
 	stream.recordFailure(now, failure, culprits,
-		"events", stream.events, "terminated", terminated, "promptParts", stream.info.SharedParts)
+		"events", stream.events, "terminated", terminated, "promptParts", stream.info.SharedParts, "ownPart", stream.info.OwnPart)
 	return stream.attempts.HandleReplicaFailure(now, failure, pipeline.Nodes[0].Address, culprits, stream)
 }
 
@@ -130,10 +151,21 @@
 	return terminated
 }
 
+// waitUntil returns until when the stream may wait for something that it needs: for the
+// limit, but until its deadline once it has begun.
+func (stream *stream) waitUntil(limit time.Duration) time.Time {
+	if stream.headersSent {
+		return stream.deadline
+	}
+	return time.Now().Add(limit)
+}
+
 // awaitPipeline returns a pipeline. If there is none, it waits for one for up to
-// pipelineWait, but not for engines that have refused requests for longer.
+// pipelineWait, but not for engines that have refused requests for longer. A stream that
+// has begun waits until its caller disconnects or its deadline passes, and then also uses
+// engines that have refused it.
 func (stream *stream) awaitPipeline() (*hatchpath.Pipeline, error) {
-	waitUntil := time.Now().Add(stream.forwarder.pipelineWait)
+	began, waitUntil := time.Now(), stream.waitUntil(stream.forwarder.pipelineWait)
 	for {
 		started := time.Now()
 		pipeline, err := stream.choosePipeline()
@@ -143,10 +175,14 @@
 		if err == nil || time.Now().Add(dragonflyhatch.FailureOf(err).RetryAfter).After(waitUntil) {
 			return pipeline, err
 		}
+		if stream.headersSent {
+			stream.attempts.ClearExcluded()
+		}
+		pause := max(pipelinePollInterval, pipelinePollFactor*time.Since(started), started.Sub(began)/pipelinePollGrowth)
 		select {
 		case <-stream.ctx.Done():
 			return nil, err
-		case <-time.After(max(pipelinePollInterval, pipelinePollFactor*time.Since(started))):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -188,6 +224,15 @@
 	return view.Pipeline(time.Now(), query)
 }
 
+// finalFailure returns the failure of a stream that makes no further attempt because of
+// err.
+func (stream *stream) finalFailure(err error) error {
+	if stream.headersSent && stream.ctx.Err() != nil {
+		return stream.endedEarly("stream incomplete at the deadline, after: " + err.Error())
+	}
+	return err
+}
+
 // endWithFailure ends a stream that is incomplete. If its headers were sent
 // already, the connection to the caller is aborted.
 func (stream *stream) endWithFailure(err error) {
@@ -195,6 +240,10 @@
 	case stream.callerDisconnected():
 		stream.recordOutcome(statusCallerDisconnected, "caller disconnected")
 	case stream.headersSent:
+		stream.forwarder.metricSet.aborted.Inc(1)
+		if stream.forwarder.stopAt.Load() != nil && !stream.isStopped() {
+			stream.forwarder.aborted.Add(1)
+		}
 		stream.recordOutcome(http.StatusBadGateway, "stream aborted: "+err.Error())
 		panic(http.ErrAbortHandler)
 	default:
@@ -294,6 +343,13 @@
 			Detail: culprit + " refused with status " + strconv.Itoa(replicaResponse.status),
 		}, []string{culprit}
 	}
+	if stream.mayHaveInvalidStages(pipeline, replicaResponse) {
+		stream.rejected = true
+		stream.logger.Warn("request rejected", "by", culprit, "stages", pipeline.Stages)
+		return &dragonflyhatch.Failure{
+			Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: culprit + " rejected the request or its stages",
+		}, []string{culprit}
+	}
 	if stream.headersSent || replicaResponse.status >= http.StatusInternalServerError && stream.route.Repeatable() || isRefusalStatus(replicaResponse.status) {
 		return &dragonflyhatch.Failure{
 			Kind:   dragonflyhatch.KindUpstreamLost,
@@ -307,6 +363,15 @@
 	return nil, nil
 }
 
+// mayHaveInvalidStages reports whether the head states that it has not run the request
+// because it is invalid, and the stages, which the caller has not chosen, may be the reason.
+// If a second head states the same of other stages, it is the request itself, unless a
+// replica has begun to answer it.
+func (stream *stream) mayHaveInvalidStages(pipeline *hatchpath.Pipeline, replicaResponse *replicaResponse) bool {
+	return replicaResponse.status == http.StatusBadRequest && replicaResponse.info.NotRun &&
+		len(pipeline.Stages) > 0 && stream.info.ID != "" && (stream.headersSent || !stream.rejected)
+}
+
 // nodeAt returns the pipeline's node with the address, or nil.
 func (stream *stream) nodeAt(pipeline *hatchpath.Pipeline, address string) *hatchpath.Node {
 	for _, node := range pipeline.Nodes {
@@ -398,8 +463,10 @@
 func (stream *stream) writeEvents(replicaExchange *exchange, events []byte, lastEventID string) error {
 	if !stream.headersSent {
 		copyHeader(stream.writer.Header(), stream.forwarder.dialect.EndToEndHeaders(replicaExchange.response.Header))
+		stream.announceStop()
 		stream.writer.WriteHeader(replicaExchange.response.StatusCode)
 		stream.headersSent = true
+		stream.attempts.RecordDelivery()
 		stream.forwarder.metricSet.recordFirstEvent(time.Since(stream.started))
 	}
 	if _, err := stream.writer.Write(events); err != nil {
