--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -81,7 +81,7 @@
 	stream.flusher, _ = call.writer.(http.Flusher)
 	for {
 		if err := stream.awaitClearance(); err != nil {
-			stream.endWithFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err)))
+			stream.endWithFailure(stream.finalFailure(call.attempts.FinalFailure(dragonflyhatch.FailureOf(err))))
 			return
 		}
 		pipeline, err := stream.awaitPipeline()
