A probe looks again for an answer after that of the control

Callers saw streams break off at sound engines just after a change of the configuration, and some cut in the middle.

Cause: a daemon that is short of processor time reads answers late. The control that many silent replicas call for is probed after them, when the delay may be over: its answer proved the silence of dials that had been given up, though their answers had arrived before. Besides, a first dial that had not run at all passed as not delayed, and a delay between dial and grace was not noticed.

Change: the dials of silent replicas go on until the control has answered, and their outcomes are looked at again; the whole probe counts for the daemon's own delay.

--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -30,10 +30,13 @@
 	// but were not read yet.
 	probeGrace = 5 * time.Millisecond
 	// maxProbeDelay bounds how late the first dial of a probe may start and by how
-	// much the grace period may overrun. It is several times the lateness of timers
+	// much the probe may overrun. It is several times the lateness of timers
 	// on an idle machine. If it is exceeded, this daemon itself was delayed, and a
 	// missing answer proves nothing.
 	maxProbeDelay = 4 * time.Millisecond
+	// lateAnswerDelay is how long the answers that have arrived with that of a control
+	// take to be read.
+	lateAnswerDelay = 2 * time.Millisecond
 	// recheckInterval is the pause between probes of an unreachable replica.
 	recheckInterval = 300 * time.Millisecond
 	// recheckMinAge is the period after a replica was last reached in which another
@@ -95,26 +98,46 @@
 	probeInconclusive              // this daemon was delayed or could not open a connection
 )
 
+// probe is a test of one replica.
+type probe struct {
+	outcome probeOutcome      // when the probe ended
+	dials   chan probeOutcome // outcomes of further dials
+	cancel  context.CancelFunc
+}
+
+// probeOnce probes the node and returns the outcome.
+func (prober *prober) probeOnce(ctx context.Context, node *hatchpath.Node) probeOutcome {
+	probe := prober.probe(ctx, node)
+	probe.cancel()
+	return probe.outcome
+}
+
 // probe opens a connection to the replica, and a second one in parallel if the
-// first is slow. It returns probeSilent only if this daemon could have received an
+// first is slow. The outcome is probeSilent only if this daemon could have received an
 // answer: when the processor is busy, the timer may fire before an answer that
-// arrived long ago is read.
-func (prober *prober) probe(ctx context.Context, node *hatchpath.Node) probeOutcome {
+// arrived long ago is read. The dials of a silent replica go on until the probe is
+// canceled.
+func (prober *prober) probe(ctx context.Context, node *hatchpath.Node) *probe {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	outcomes := make(chan probeOutcome, 2)
+	probe := &probe{dials: make(chan probeOutcome, 2), cancel: cancel}
+	probe.outcome = probe.await(func() probeOutcome { return prober.dial(ctx, node.Address) })
+	return probe
+}
+
+// await starts the dials and returns the outcome.
+func (probe *probe) await(dialNode func() probeOutcome) probeOutcome {
 	started := time.Now()
-	var dialDelay atomic.Int64 // nanoseconds until the goroutine of the first dial ran
+	var dialDelay atomic.Int64 // nanoseconds until the goroutine of the first dial ran, or 0
 	dial := func() {
-		dialDelay.CompareAndSwap(0, int64(time.Since(started)))
-		outcomes <- prober.dial(ctx, node.Address)
+		dialDelay.CompareAndSwap(0, max(int64(time.Since(started)), 1))
+		probe.dials <- dialNode()
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	awaitOutcome := func(wait time.Duration) (probeOutcome, bool) {
 		timer.Reset(wait)
 		select {
-		case outcome := <-outcomes:
+		case outcome := <-probe.dials:
 			return outcome, true
 		case <-timer.C:
 			return probeSilent, false
@@ -126,16 +149,26 @@
 			return outcome
 		}
 	}
-	graceStarted := time.Now()
 	if outcome, ok := awaitOutcome(probeGrace); ok {
 		return outcome
 	}
-	if time.Since(graceStarted) > probeGrace+maxProbeDelay || time.Duration(dialDelay.Load()) > maxProbeDelay {
+	delay := time.Duration(dialDelay.Load())
+	if delay == 0 || delay > maxProbeDelay || time.Since(started) > probeTimeout+probeGrace+maxProbeDelay {
 		return probeInconclusive
 	}
 	return probeSilent
 }
 
+// lookAgain takes the outcome of a dial that has ended since the probe found the replica
+// silent, if there is one.
+func (probe *probe) lookAgain() {
+	select {
+	case outcome := <-probe.dials:
+		probe.outcome = outcome
+	default:
+	}
+}
+
 // dialOnce opens and closes a connection to the address.
 func dialOnce(ctx context.Context, address string) probeOutcome {
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
@@ -166,23 +199,28 @@
 			probed = append(probed, node)
 		}
 	}
-	outcomes := make([]probeOutcome, len(probed))
+	probes := make([]*probe, len(probed))
 	var group conc.WaitGroup
 	for i, node := range probed {
-		group.Go(func() { outcomes[i] = prober.probe(ctx, node) })
+		group.Go(func() { probes[i] = prober.probe(ctx, node) })
 	}
 	group.Wait()
+	defer func() {
+		for _, probe := range probes {
+			probe.cancel()
+		}
+	}()
 	if ctx.Err() != nil {
 		return culprits
 	}
-	conclusive := prober.silenceIsConclusive(ctx, probed, outcomes)
+	conclusive := prober.silenceIsConclusive(ctx, probed, probes)
 	for i, node := range probed {
-		switch {
-		case outcomes[i] == probeAnswered:
+		switch outcome := probes[i].outcome; {
+		case outcome == probeAnswered:
 			node.MarkReachable(time.Now())
-		case outcomes[i] == probeRefused, outcomes[i] == probeSilent && conclusive:
+		case outcome == probeRefused, outcome == probeSilent && conclusive:
 			culprits = append(culprits, node.Address)
-			if outcomes[i] == probeRefused {
+			if outcome == probeRefused {
 				node.MarkTerminated()
 			}
 			prober.markUnreachable(node)
@@ -195,21 +233,33 @@
 // replicas are dead. If instead this daemon or its network link was delayed, many
 // replicas are silent at the same time, even one that was reached just before. So
 // when many are silent, the most recently reached replica is probed as a control.
-func (prober *prober) silenceIsConclusive(ctx context.Context, probed []*hatchpath.Node, outcomes []probeOutcome) bool {
+// Answers that have arrived before that of the control count: the control may be
+// the first to be answered after the delay.
+func (prober *prober) silenceIsConclusive(ctx context.Context, probed []*hatchpath.Node, probes []*probe) bool {
 	silent, answered := 0, 0
-	for _, outcome := range outcomes {
-		switch outcome {
+	for _, probe := range probes {
+		switch probe.outcome {
 		case probeSilent:
 			silent++
 		case probeAnswered:
 			answered++
 		}
 	}
-	if silent == 0 || answered > 0 && silent <= max(1, len(outcomes)/3) {
+	if silent == 0 {
 		return true
 	}
-	control := prober.fleet.View().MostRecentlySeen(time.Now(), probed)
-	return control == nil || prober.probe(ctx, control) == probeAnswered
+	conclusive := true
+	if answered == 0 || silent > max(1, len(probes)/3) {
+		control := prober.fleet.View().MostRecentlySeen(time.Now(), probed)
+		conclusive = control == nil || prober.probeOnce(ctx, control) == probeAnswered
+	}
+	time.Sleep(lateAnswerDelay)
+	for _, probe := range probes {
+		if probe.outcome == probeSilent {
+			probe.lookAgain()
+		}
+	}
+	return conclusive
 }
 
 // markUnreachable excludes the node until it accepts connections again.
@@ -241,7 +291,7 @@
 		if current == nil || current.Health != node.Health {
 			return
 		}
-		if prober.probe(context.Background(), node) == probeAnswered {
+		if prober.probeOnce(context.Background(), node) == probeAnswered {
 			node.MarkReachable(time.Now())
 			return
 		}
--- a/hatchforward/prober_test.go
+++ b/hatchforward/prober_test.go
@@ -20,6 +20,7 @@
 	delay   time.Duration // until an address that is not silent answers
 	control string        // address that is dialed after the others
 	started time.Time     // of the check
+	timely  time.Duration // until the dials of silent addresses are canceled on a machine that is on time
 
 	mu      sync.Mutex
 	dialed  map[string]bool
@@ -43,7 +44,7 @@
 	if dialer.silent[address] {
 		<-ctx.Done()
 		// The second dial of a probe says nothing about its start.
-		dialer.recordLate(first && time.Since(dialed) > probeTimeout+probeGrace+maxProbeDelay)
+		dialer.recordLate(first && time.Since(dialed) > dialer.timely)
 		return probeSilent
 	}
 	dialer.recordLate(first && ctx.Err() != nil)
@@ -88,7 +89,11 @@
 	fleet := newFleet("lm", replicas...)
 	trial := &probeTrial{dialer: &fakeDialer{
 		silent: make(map[string]bool), delay: delay, control: replicas[2].address(), dialed: make(map[string]bool),
+		timely: probeTimeout + probeGrace + lateAnswerDelay + maxProbeDelay,
 	}}
+	if silent == len(replicas) { // the control is awaited too
+		trial.dialer.timely += probeTimeout + probeGrace
+	}
 	for _, replica := range replicas[:silent] {
 		trial.dialer.silent[replica.address()] = true
 	}
@@ -146,6 +151,25 @@
 		convey.Convey("An answer that arrives just after the timeout counts", func() {
 			convey.So(run(0, probeTimeout+probeGrace/2).culprits, convey.ShouldBeEmpty)
 		})
+		convey.Convey("Answers that are read after the timeout count if they are read no later than that of the control", func() {
+			fleet := newFleet("lm", replicas...)
+			prober, control, controlDialed := newProber(fleet), fleet.view.NodeAt(replicas[2].address()), make(chan struct{})
+			prober.dial = func(ctx context.Context, address string) probeOutcome {
+				if address == control.Address {
+					close(controlDialed)
+					return probeAnswered
+				}
+				select {
+				case <-controlDialed:
+					return probeAnswered
+				case <-ctx.Done():
+					return probeSilent
+				}
+			}
+			control.MarkReachable(time.Now())
+			pipeline := []*hatchpath.Node{fleet.view.NodeAt(replicas[0].address()), fleet.view.NodeAt(replicas[1].address())}
+			convey.So(prober.check(context.Background(), pipeline, pipeline[0]), convey.ShouldBeEmpty)
+		})
 		convey.Convey("Silence is inconclusive while the daemon does not get processor time", func() {
 			release := occupyProcessor()
 			defer release()
