--- a/hatchforward/budget.go
+++ b/hatchforward/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +23,19 @@
 type serviceBudget struct {
 	*hatchretry.SharedBudget
 
-	waiting     atomic.Int32 // streams that have begun and wait for a token
-	requestMu   sync.Mutex   // held during a request for tokens
-	nextRequest time.Time    // earliest time of the next request for tokens
+	waiting     atomic.Int32  // streams that have begun and wait for a token
+	requesting  chan struct{} // holds an item during a request for tokens
+	nextRequest time.Time     // earliest time of the next request for tokens; guarded by requesting
+}
+
+// take takes one retry token that this daemon has, and reports whether there was one. A
+// request that is not urgent can still be refused: it leaves the reserve, and gets none
+// while streams that have begun wait for tokens.
+func (budget *serviceBudget) take(daemons int, urgent bool) bool {
+	if urgent {
+		return budget.Spend(time.Now(), daemons)
+	}
+	return budget.waiting.Load() == 0 && budget.SpendUnreserved(time.Now(), daemons)
 }
 
 // budget returns this daemon's share of the service's retry budget.
@@ -35,38 +44,58 @@
 	defer forwarder.mu.Unlock()
 	budget, ok := forwarder.budgets[service]
 	if !ok {
-		budget = &serviceBudget{SharedBudget: hatchretry.NewSharedBudget(forwarder.retryLimits)}
+		budget = &serviceBudget{SharedBudget: hatchretry.NewSharedBudget(forwarder.retryLimits), requesting: make(chan struct{}, 1)}
 		forwarder.budgets[service] = budget
 	}
 	return budget
 }
 
 // spendLocal takes one retry token from this daemon's share of the service's
-// budget without its reserve, and reports whether there was one.
+// budget for a request that is not urgent, and reports whether there was one.
 func (forwarder *Forwarder) spendLocal(service string) bool {
-	return forwarder.budget(service).SpendUnreserved(time.Now(), forwarder.fleet.Daemons())
+	return forwarder.budget(service).take(forwarder.fleet.Daemons(), false)
 }
 
-// spend takes one retry token for a request that can still be refused: from this
-// daemon's share of the service's budget, or one that another daemon grants. It reports
-// whether it got one. While streams that have begun wait for tokens, other requests get
-// none. It may block for as long as hatchpeer allows a token request to take.
-func (forwarder *Forwarder) spend(service string) bool {
-	budget := forwarder.budget(service)
-	if budget.waiting.Load() > 0 {
+// spend takes one retry token from this daemon's share of the service's budget, or one
+// that another daemon grants, and reports whether it got one. It may block for as long as
+// hatchpeer allows a token request to take, but not after ctx is done.
+func (forwarder *Forwarder) spend(ctx context.Context, service string, urgent bool) bool {
+	budget, daemons := forwarder.budget(service), forwarder.fleet.Daemons()
+	if budget.take(daemons, urgent) {
+		return true
+	}
+	if !urgent && budget.waiting.Load() > 0 {
+		return false
+	}
+	select {
+	case budget.requesting <- struct{}{}:
+		defer func() { <-budget.requesting }()
+	case <-ctx.Done():
+		return false
+	}
+	if budget.take(daemons, urgent) { // tokens granted to a concurrent request
+		return true
+	}
+	if time.Now().Before(budget.nextRequest) || ctx.Err() != nil {
 		return false
 	}
-	return forwarder.spendOrRequest(service, budget, budget.SpendUnreserved)
+	wanted := max(int(budget.waiting.Load()), 1)
+	forwarder.fleet.RequestRetryTokens(service, wanted, urgent, func(granted int) { budget.AddGrant(time.Now(), granted) })
+	if budget.take(daemons, urgent) {
+		return true
+	}
+	budget.nextRequest = time.Now().Add(tokenRequestPause)
+	return false
 }
 
-// awaitToken is like spend, for a stream that has begun: it may use the reserve, and
-// waits for a token until ctx is done.
+// awaitToken takes one retry token for a stream that has begun. It waits for one until ctx
+// is done.
 func (forwarder *Forwarder) awaitToken(ctx context.Context, service string) bool {
 	budget := forwarder.budget(service)
 	budget.waiting.Add(1)
 	defer budget.waiting.Add(-1)
 	for ctx.Err() == nil {
-		if forwarder.spendOrRequest(service, budget, budget.Spend) {
+		if forwarder.spend(ctx, service, true) {
 			return true
 		}
 		sleep(ctx, time.Duration((0.5+forwarder.random.Float64())*float64(tokenPollInterval)))
@@ -74,36 +103,17 @@
 	return false
 }
 
-// spendOrRequest takes one retry token with the method spend of the budget. If there is
-// none, it requests tokens from other daemons, unless none granted any a short time ago.
-func (forwarder *Forwarder) spendOrRequest(service string, budget *serviceBudget, spend func(now time.Time, daemons int) bool) bool {
-	daemons := forwarder.fleet.Daemons()
-	if spend(time.Now(), daemons) {
-		return true
-	}
-	budget.requestMu.Lock()
-	defer budget.requestMu.Unlock()
-	now := time.Now()
-	if spend(now, daemons) { // tokens granted to a concurrent request
-		return true
-	}
-	if now.Before(budget.nextRequest) {
-		return false
-	}
-	wanted := max(int(budget.waiting.Load()), 1)
-	forwarder.fleet.RequestRetryTokens(service, wanted, func(granted int) { budget.AddGrant(time.Now(), granted) })
-	now = time.Now()
-	if spend(now, daemons) {
-		return true
-	}
-	budget.nextRequest = now.Add(tokenRequestPause)
-	return false
-}
-
 // GrantRetryTokens takes up to wanted retry tokens out of this daemon's share of
 // the service's budget to grant them to another daemon, and returns their number.
-func (forwarder *Forwarder) GrantRetryTokens(service string, wanted int) int {
-	return forwarder.budget(service).GrantRetryTokens(time.Now(), forwarder.fleet.Daemons(), wanted)
+func (forwarder *Forwarder) GrantRetryTokens(service string, wanted int, urgent bool) int {
+	budget, now, daemons := forwarder.budget(service), time.Now(), forwarder.fleet.Daemons()
+	switch {
+	case urgent:
+		return budget.GrantRetryTokens(now, daemons, wanted)
+	case budget.waiting.Load() > 0:
+		return 0
+	}
+	return budget.GrantUnreserved(now, daemons, wanted)
 }
 
 // sleep pauses for the duration, but not after ctx is done.
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -34,10 +34,10 @@
 	// reach it.
 	IsGone(address string) bool
 	// RequestRetryTokens requests retry tokens of the service, the wanted number in all,
-	// from other daemons. It calls credit with the number that each grants; these tokens
+	// from other daemons; urgent ones are for streams that have begun. It calls credit with the number that each grants; these tokens
 	// must be spent immediately.
 	// It returns after the first grant, or when there will be none.
-	RequestRetryTokens(service string, wanted int, credit func(granted int))
+	RequestRetryTokens(service string, wanted int, urgent bool, credit func(granted int))
 	// ReportUnreachable is called when a replica is found to be unreachable.
 	ReportUnreachable(replica dragonflyhatch.Replica)
 	// ReportLeaving is called when a replica first states that it is leaving.
@@ -295,7 +295,7 @@
 // Spend takes one retry token from the budget of the call's service, and reports
 // whether it got one.
 func (call *call) Spend() bool {
-	ok := call.forwarder.spend(call.service.Name)
+	ok := call.forwarder.spend(call.ctx, call.service.Name, false)
 	if !ok {
 		call.forwarder.metricSet.budgetSpent.Inc(1)
 		call.logger.Warn("retry denied", "reason", "retry budget exhausted", "service", call.service.Name)
@@ -311,7 +311,7 @@
 		Site:    call.forwarder.site,
 		Tokens:  call.info.PromptTokens + call.info.OutputTokens,
 		Exclude: attempts.Excluded(),
-		Resumed: call.isRepeat(),
+		Resumed: call.info.ResumeAfter != "" || attempts.Count() > 0,
 		Daemons: call.forwarder.fleet.Daemons(),
 		Random:  call.forwarder.random,
 	}
--- a/hatchforward/quarantine.go
+++ b/hatchforward/quarantine.go
@@ -108,13 +108,13 @@
 // awaitClearance waits while the request is delayed because of a part of its prompt. It
 // returns a failure if the request is refused.
 func (stream *stream) awaitClearance() error {
-	waitUntil := stream.waitUntil(maxClearanceWait)
+	waitUntil := time.Now().Add(maxClearanceWait)
 	for {
 		verdict := stream.checkQuarantine()
 		switch {
 		case verdict.Action == hatchquarantine.Send, verdict.Action == hatchquarantine.Trial:
 			return nil
-		case verdict.Action == hatchquarantine.Refuse, time.Now().After(waitUntil):
+		case verdict.Action == hatchquarantine.Refuse, !stream.headersSent && time.Now().After(waitUntil):
 			stream.forwarder.metricSet.heldBack.Inc(1)
 			failure := dragonflyhatch.Failf(dragonflyhatch.KindPromptHeldBack, "part %s: %d replicas terminated", verdict.Part.ID, verdict.Terminations)
 			dragonflyhatch.FailureOf(failure).RetryAfter = verdict.Wait
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -218,7 +218,7 @@
 func (fleet *fakeFleet) Table() *hatchroute.Table { return fleet.table }
 func (fleet *fakeFleet) View() *hatchpath.View    { return fleet.view }
 func (fleet *fakeFleet) Daemons() int             { return 1 }
-func (fleet *fakeFleet) RequestRetryTokens(_ string, _ int, credit func(int)) {
+func (fleet *fakeFleet) RequestRetryTokens(_ string, _ int, _ bool, credit func(int)) {
 	time.Sleep(fleet.grantDelay)
 	credit(fleet.grantable)
 	fleet.grantable = 0
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -23,10 +23,12 @@
 	// pipelinePollInterval is the pause between searches for a pipeline. It is
 	// extended to pipelinePollFactor times the duration of a search, because with
 	// thousands of engines a search takes milliseconds and many requests wait at
-	// the same time, and to the time waited so far divided by pipelinePollGrowth.
-	pipelinePollInterval = 25 * time.Millisecond
-	pipelinePollFactor   = 50
-	pipelinePollGrowth   = 10
+	// the same time, and to the time waited so far divided by pipelinePollGrowth, up
+	// to maxPipelinePollGrowth.
+	pipelinePollInterval  = 25 * time.Millisecond
+	pipelinePollFactor    = 50
+	pipelinePollGrowth    = 10
+	maxPipelinePollGrowth = 200 * time.Millisecond
 	// streamBufferSize is the size in bytes of the buffer for reads of a stream.
 	streamBufferSize = 4 << 10
 )
@@ -43,7 +45,7 @@
 	flusher     http.Flusher
 	prepaid     bool // the watch has spent the retry token of the next attempt
 	events      int  // reads with events of the latest attempt
-	fruitless   int  // consecutive failed attempts without events
+	fruitless   int  // consecutive failed attempts that did not answer the request
 	trial       bool // the attempt is a trial of a suspected part
 
 	slotDenied   bool // a replica had no slot for the request within its limit
@@ -64,12 +66,15 @@
 	}
 	started := time.Now()
 	sleep(stream.ctx, hatchretry.Backoff(stream.fruitless, stream.forwarder.random.Float64()))
-	if _, err := stream.awaitPipeline(); err != nil {
-		return false
+	lacking := "pipeline"
+	_, err := stream.awaitPipeline()
+	ok := err == nil
+	if ok {
+		lacking = "token"
+		ok = stream.forwarder.awaitToken(stream.ctx, stream.service.Name)
 	}
-	ok := stream.forwarder.awaitToken(stream.ctx, stream.service.Name)
 	if waited := time.Since(started); waited > tokenPollInterval {
-		stream.logger.Info("retry delayed", "waited", waited, "service", stream.service.Name, "granted", ok)
+		stream.logger.Info("retry delayed", "waited", waited, "service", stream.service.Name, "granted", ok, "latestLack", lacking)
 	}
 	return ok
 }
@@ -132,7 +137,7 @@
 		return stream.handleFailure(now, failure, culprits...)
 	}
 	stream.fruitless++
-	if stream.events > 0 {
+	if stream.events >= answeredEvents {
 		stream.fruitless = 0
 	}
 	stream.recordFailure(now, failure, culprits,
@@ -151,34 +156,26 @@
 	return terminated
 }
 
-// waitUntil returns until when the stream may wait for something that it needs: for the
-// limit, but until its deadline once it has begun.
-func (stream *stream) waitUntil(limit time.Duration) time.Time {
-	if stream.headersSent {
-		return stream.deadline
-	}
-	return time.Now().Add(limit)
-}
-
 // awaitPipeline returns a pipeline. If there is none, it waits for one for up to
 // pipelineWait, but not for engines that have refused requests for longer. A stream that
 // has begun waits until its caller disconnects or its deadline passes, and then also uses
 // engines that have refused it.
 func (stream *stream) awaitPipeline() (*hatchpath.Pipeline, error) {
-	began, waitUntil := time.Now(), stream.waitUntil(stream.forwarder.pipelineWait)
+	began := time.Now()
+	waitUntil := began.Add(stream.forwarder.pipelineWait)
 	for {
 		started := time.Now()
 		pipeline, err := stream.choosePipeline()
 		if err != nil && stream.slotDenied && !stream.isRepeat() {
 			return nil, stream.refuseAtLimits(err)
 		}
-		if err == nil || time.Now().Add(dragonflyhatch.FailureOf(err).RetryAfter).After(waitUntil) {
+		if err == nil || !stream.headersSent && time.Now().Add(dragonflyhatch.FailureOf(err).RetryAfter).After(waitUntil) {
 			return pipeline, err
 		}
 		if stream.headersSent {
 			stream.attempts.ClearExcluded()
 		}
-		pause := max(pipelinePollInterval, pipelinePollFactor*time.Since(started), started.Sub(began)/pipelinePollGrowth)
+		pause := max(pipelinePollInterval, pipelinePollFactor*time.Since(started), min(started.Sub(began)/pipelinePollGrowth, maxPipelinePollGrowth))
 		select {
 		case <-stream.ctx.Done():
 			return nil, err
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"dragonflyhatch/hatchretry"
+	"dragonflyhatch/platform"
 )
 
 const streamEvents = 12
@@ -29,6 +30,7 @@
 	endsInsideEvent                   // ends the body regularly inside an event
 	goesSilent                        // sends nothing more and refuses new connections
 	refusesFull                       // refuses the request because it is full
+	stalls                            // sends nothing more, but accepts new connections
 	rejectsStages                     // states that the request is invalid and was not run
 )
 
@@ -93,6 +95,8 @@
 	case goesSilent:
 		replica.listener.Close() // new connections are refused, and nothing more is sent
 		io.Copy(io.Discard, conn)
+	case stalls:
+		io.Copy(io.Discard, conn)
 	}
 }
 
@@ -268,6 +272,38 @@
 			convey.So(got.complete, convey.ShouldBeTrue)
 			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
 		})
+		convey.Convey("A stream leaves a silent engine with a token of the reserve", func() {
+			one.setStream(stalls, 5)
+			limits := hatchretry.SharedLimits{Extra: 1.5, Window: 10 * time.Second} // a share of one token, all of it reserve
+			got := sendRequest(newServer(t, fleet, WithRetryLimits(limits)), "POST", "/stream/", "silent")
+			convey.So(got.complete, convey.ShouldBeTrue)
+			convey.So(got.body, convey.ShouldEqual, expectedStream(0))
+		})
+		convey.Convey("A stream waits for an engine that is lost, while another one wants no request for longer than its time", func() {
+			one.setStream(goesSilent, 5)
+			third := newFakeReplica(t, "e-3")
+			fleet := newFleet("lm", one, two, third)
+			fleet.view.NodeAt(third.address()).Pause(time.Now(), time.Minute)
+			node := fleet.view.NodeAt(two.address())
+			node.MarkUnreachable(time.Now())
+			time.AfterFunc(600*time.Millisecond, func() { node.MarkReachable(time.Now()) })
+			got := sendRequest(newServer(t, fleet), "POST", "/stream/", "paused")
+			convey.So(got.complete, convey.ShouldBeTrue)
+		})
+		convey.Convey("A new request gets no token while a stream waits for one", func() {
+			forwarder := New(fleet, platform.Dialect{})
+			budget := forwarder.budget("lm")
+			convey.So(budget.take(1, false), convey.ShouldBeFalse) // no requests yet, so the share is empty
+			for range 100 {
+				budget.RecordRequest(time.Now())
+			}
+			convey.So(budget.take(1, false), convey.ShouldBeTrue)
+			budget.waiting.Add(1)
+			convey.So(budget.take(1, false), convey.ShouldBeFalse)
+			convey.So(forwarder.GrantRetryTokens("lm", 1, false), convey.ShouldEqual, 0)
+			convey.So(forwarder.GrantRetryTokens("lm", 1, true), convey.ShouldEqual, 1)
+			convey.So(budget.take(1, true), convey.ShouldBeTrue)
+		})
 		convey.Convey("A stream goes back to an engine that has refused it", func() {
 			two.setStream(refusesFull, 0)
 			time.AfterFunc(time.Second, func() { two.setStream(endsComplete, 0) })
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -63,6 +63,7 @@
 
 	mu           sync.Mutex
 	timer        *time.Timer
+	resumed      bool          // the caller had received a part of the stream before the attempt
 	dataReceived bool          // some of the response body was received
 	lastProgress time.Time     // time of the last event with data, or of the start
 	silentSince  time.Time     // when the wait for the next event began
@@ -84,7 +85,7 @@
 	now := time.Now()
 	watch := &watch{
 		stream: stream, pipeline: pipeline, cancel: cancel, attempts: stream.attempts.Clone(), terminations: stream.terminations,
-		lastProgress: now, silentSince: now, checkDelay: firstCheckDelay,
+		lastProgress: now, silentSince: now, checkDelay: firstCheckDelay, resumed: stream.headersSent,
 	}
 	watch.firstEvent = pipeline.Nodes[0].AwaitFirstEvent(now)
 	watch.mu.Lock() // the timer may fire before watch.timer is set
@@ -228,10 +229,19 @@
 	attempts.Exclude(head)
 	if stream.service.Model == nil {
 		_, err := view.Service(time.Now(), stream.query(attempts))
-		return err == nil && stream.call.Spend()
+		return err == nil && watch.spend()
 	}
 	other, err := stream.chooseEnginePipeline(view, attempts, true)
-	return err == nil && other.Nodes[0].Address != head && stream.call.Spend()
+	return err == nil && other.Nodes[0].Address != head && watch.spend()
+}
+
+// spend takes one retry token and reports whether there was one. It does not wait for one:
+// the attempt may still make progress.
+func (watch *watch) spend() bool {
+	watch.mu.Lock()
+	begun := watch.resumed || watch.dataReceived
+	watch.mu.Unlock()
+	return watch.stream.forwarder.spend(watch.stream.ctx, watch.stream.service.Name, begun)
 }
 
 // silenceLimit returns how long the stream may be silent while its replicas are
--- a/hatchgateway/follow_test.go
+++ b/hatchgateway/follow_test.go
@@ -25,7 +25,7 @@
 func (*versionedPeer) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip {
 	return gossip
 }
-func (*versionedPeer) GrantRetryTokens(string, int) int { return 0 }
+func (*versionedPeer) GrantRetryTokens(string, int, bool) int { return 0 }
 
 func (*versionedPeer) GrantSlot(dragonflyhatch.SlotRequest) dragonflyhatch.SlotReply {
 	return dragonflyhatch.SlotReply{}
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -21,7 +21,7 @@
 	ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip
 	// GrantRetryTokens takes up to wanted retry tokens from the daemon's share of the
 	// service's retry budget, and returns the number taken.
-	GrantRetryTokens(service string, wanted int) int
+	GrantRetryTokens(service string, wanted int, urgent bool) int
 	// Snapshot returns the daemon's routing configuration or its replicas as JSON, and
 	// their version, which is 0 if the daemon has none.
 	Snapshot(kind dragonflyhatch.SnapshotKind) (uint64, []byte)
@@ -64,7 +64,7 @@
 
 // Lend grants a peer retry tokens from the daemon's share of a retry budget.
 func (handler *fleetHandler) Lend(_ context.Context, request *LoanRequest) (*LoanReply, error) {
-	return &LoanReply{Lent: int32(handler.daemon.GrantRetryTokens(request.GetService(), int(request.GetWanted())))}, nil
+	return &LoanReply{Lent: int32(handler.daemon.GrantRetryTokens(request.GetService(), int(request.GetWanted()), request.GetUrgent()))}, nil
 }
 
 // TakeSlot grants a peer a slot for a request to a replica that names a limit.
@@ -154,10 +154,10 @@
 
 // RequestRetryTokens asks the daemon at the address for up to wanted tokens of the
 // service's retry budget, and returns the number granted.
-func (client *FleetClient) RequestRetryTokens(ctx context.Context, address, service string, wanted int) (int, error) {
+func (client *FleetClient) RequestRetryTokens(ctx context.Context, address, service string, wanted int, urgent bool) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, tokenRequestTimeout)
 	defer cancel()
-	reply, err := NewFleetProtobufClient("http://"+address, client.http).Lend(ctx, &LoanRequest{Service: service, Wanted: int32(wanted)})
+	reply, err := NewFleetProtobufClient("http://"+address, client.http).Lend(ctx, &LoanRequest{Service: service, Wanted: int32(wanted), Urgent: urgent})
 	if err != nil {
 		return 0, errors.Wrapf(err, "peer %s", address)
 	}
--- a/hatchpeer/fleet_test.go
+++ b/hatchpeer/fleet_test.go
@@ -51,7 +51,7 @@
 
 func (stubDaemon) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip { return gossip }
 
-func (stubDaemon) GrantRetryTokens(string, int) int { return 0 }
+func (stubDaemon) GrantRetryTokens(string, int, bool) int { return 0 }
 func (stubDaemon) GrantSlot(dragonflyhatch.SlotRequest) dragonflyhatch.SlotReply {
 	return dragonflyhatch.SlotReply{}
 }
--- a/hatchretry/attempts.go
+++ b/hatchretry/attempts.go
@@ -55,7 +55,7 @@
 // what is delivered to the caller must not be repeated.
 type Attempts struct {
 	deadline          time.Time
-	count             int      // failed attempts
+	count             int      // failed attempts; after a delivery only those that may have run
 	runs              int      // attempts that may have run
 	terminations      int      // replicas that terminated before they answered
 	delivered         bool     // the caller has received a part of the response
@@ -169,8 +169,8 @@
 }
 
 // RecordDelivery records that the caller has received a part of the response. The
-// request can no longer be refused, so from then on the number of attempts is limited
-// only by the deadline, the retry tokens and the replicas that may run the request.
+// request can no longer be refused, so from then on attempts that did not run are limited
+// only by the deadline and the retry tokens.
 func (attempts *Attempts) RecordDelivery() {
 	attempts.delivered = true
 }
@@ -202,12 +202,14 @@
 // retryOrEnd returns nil if another attempt is to follow, and otherwise the failure
 // for the caller.
 func (attempts *Attempts) retryOrEnd(now time.Time, failure *dragonflyhatch.Failure, culprits []string, budget Spender) error {
-	attempts.count++
+	if !attempts.delivered || failure.Kind.ErrorResponse().Ran == dragonflyhatch.RanUnknown {
+		attempts.count++
+	}
 	attempts.Exclude(culprits...)
 	switch {
 	case !now.Before(attempts.deadline):
 		return attempts.FinalFailure(deadlineFailure(failure))
-	case attempts.count >= maxAttempts && !attempts.delivered || attempts.runs >= attempts.maxRuns || attempts.terminations >= maxTerminations || !retryable(failure.Kind):
+	case attempts.count >= maxAttempts || attempts.runs >= attempts.maxRuns || attempts.terminations >= maxTerminations || !retryable(failure.Kind):
 		return attempts.FinalFailure(failure)
 	case !budget.Spend():
 		return attempts.FinalFailure(&dragonflyhatch.Failure{
--- a/hatchretry/attempts_test.go
+++ b/hatchretry/attempts_test.go
@@ -72,7 +72,7 @@
 			convey.So(Backoff(fruitless, 0), convey.ShouldEqual, mean/2)
 		}
 	})
-	convey.Convey("Once the caller has received a part, the number of attempts is not limited, but their time is", t, func() {
+	convey.Convey("Once the caller has received a part, attempts that did not run are limited by time alone, others by number", t, func() {
 		now := time.Unix(100, 0)
 		attempts := NewAttempts(now.Add(time.Second), false)
 		attempts.RecordDelivery()
@@ -80,5 +80,11 @@
 			convey.So(attempts.HandleFailure(now, failure(dragonflyhatch.KindUpstreamUnavailable), nil, NewBudget()), convey.ShouldBeNil)
 		}
 		convey.So(attempts.HandleFailure(now.Add(time.Second), failure(dragonflyhatch.KindUpstreamUnavailable), nil, NewBudget()), convey.ShouldNotBeNil)
+		attempts = NewAttempts(now.Add(time.Second), false)
+		attempts.RecordDelivery()
+		for range maxAttempts - 1 {
+			convey.So(attempts.HandleReplicaFailure(now, failure(dragonflyhatch.KindUpstreamLost), "r", nil, NewBudget()), convey.ShouldBeNil)
+		}
+		convey.So(attempts.HandleReplicaFailure(now, failure(dragonflyhatch.KindUpstreamLost), "r", nil, NewBudget()), convey.ShouldNotBeNil)
 	})
 }
--- a/hatchretry/shared.go
+++ b/hatchretry/shared.go
@@ -96,10 +96,21 @@
 // grant them to another daemon. It returns their number, which is at most half of
 // the remaining tokens, rounded up.
 func (budget *SharedBudget) GrantRetryTokens(now time.Time, daemons, wanted int) int {
+	return budget.grant(now, daemons, wanted, 1)
+}
+
+// GrantUnreserved is like GrantRetryTokens, but leaves the reserve of this daemon's share.
+func (budget *SharedBudget) GrantUnreserved(now time.Time, daemons, wanted int) int {
+	return budget.grant(now, daemons, wanted, 1-reserveFactor)
+}
+
+// grant takes up to wanted retry tokens out of the given fraction of this daemon's share.
+func (budget *SharedBudget) grant(now time.Time, daemons, wanted int, fraction float64) int {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	index := budget.advance(now)
-	count := max(min(wanted, (budget.remaining(daemons)+1)/2), 0)
+	remaining := int(fraction*budget.allowed(daemons)) - sum(budget.retries)
+	count := max(min(wanted, (remaining+1)/2), 0)
 	budget.retries[index] += count
 	return count
 }
--- a/hatchretry/shared_test.go
+++ b/hatchretry/shared_test.go
@@ -98,6 +98,8 @@
 		for budget.SpendUnreserved(now, 10) {
 		}
 		convey.So(budget.Remaining(now, 10), convey.ShouldEqual, 9)
+		convey.So(budget.GrantUnreserved(now, 10, 1), convey.ShouldEqual, 0)
+		convey.So(budget.GrantRetryTokens(now, 10, 1), convey.ShouldEqual, 1)
 		convey.So(budget.Spend(now, 10), convey.ShouldBeTrue)
 	})
 }
