A silent stream that gets no token says so in the log; TestEventsOnceAndInOrder needs complete streams

The test's streams have a deadline of 100 ms since streams wait; on a machine where none was complete it would have shown nothing.

--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -295,7 +295,12 @@
 // Spend takes one retry token from the budget of the call's service, and reports
 // whether it got one.
 func (call *call) Spend() bool {
-	ok := call.forwarder.spend(call.ctx, call.service.Name, false)
+	return call.spend(false)
+}
+
+// spend is Spend; an urgent token is for a stream that has begun.
+func (call *call) spend(urgent bool) bool {
+	ok := call.forwarder.spend(call.ctx, call.service.Name, urgent)
 	if !ok {
 		call.forwarder.metricSet.budgetSpent.Inc(1)
 		call.logger.Warn("retry denied", "reason", "retry budget exhausted", "service", call.service.Name)
--- a/hatchforward/stream_test.go
+++ b/hatchforward/stream_test.go
@@ -377,6 +377,7 @@
 // checks that the caller receives a prefix of the stream that ends with a complete
 // event, and that a complete response contains all events.
 func TestEventsOnceAndInOrder(t *testing.T) {
+	completed := 0
 	rapid.Check(t, func(t *rapid.T) {
 		engines := make([]*fakeReplica, rapid.IntRange(1, 3).Draw(t, "engines"))
 		for i := range engines {
@@ -399,6 +400,11 @@
 			t.Fatalf("the response is complete but contains only %q", got.body)
 		case got.body != "" && !strings.HasSuffix(got.body, "\n\n"):
 			t.Fatalf("a partial event was forwarded: %q", got.body)
+		case got.complete && got.body != "":
+			completed++
 		}
 	})
+	if completed == 0 {
+		t.Fatal("no stream was complete") // within its deadline, so that nothing was shown
+	}
 }
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -241,7 +241,7 @@
 	watch.mu.Lock()
 	begun := watch.resumed || watch.dataReceived
 	watch.mu.Unlock()
-	return watch.stream.forwarder.spend(watch.stream.ctx, watch.stream.service.Name, begun)
+	return watch.stream.call.spend(begun)
 }
 
 // silenceLimit returns how long the stream may be silent while its replicas are
