--- a/gateway.go
+++ b/gateway.go
@@ -178,6 +178,7 @@
 	PromptTokens int
 	OutputTokens int      // maximum
 	SharedParts  []string // ids of the prompt's parts that other requests may have too, at most MaxSharedParts
+	OwnPart      string   // id of the prompt's last part, of the request or its session; empty without parts
 	ResumeAfter  string   // id of the last event that the caller received; empty for a new stream
 }
 
--- a/hatchforward/quarantine.go
+++ b/hatchforward/quarantine.go
@@ -74,7 +74,7 @@
 	prober.mu.Lock()
 	defer prober.mu.Unlock()
 	for watch := range prober.watches {
-		if len(watch.stream.info.SharedParts) > 0 {
+		if watch.stream.hasParts() {
 			go watch.handleHeldPart()
 		}
 	}
@@ -94,12 +94,17 @@
 
 // quarantineRequest returns what the quarantine decides on.
 func (call *call) quarantineRequest() hatchquarantine.Request {
-	return hatchquarantine.Request{Service: call.service.Name, Organisation: call.organisationName(), Parts: call.info.SharedParts}
+	return hatchquarantine.Request{Service: call.service.Name, Organisation: call.organisationName(), Parts: call.info.SharedParts, Own: call.info.OwnPart}
+}
+
+// hasParts reports whether the prompt has parts that the quarantine can tell apart.
+func (call *call) hasParts() bool {
+	return len(call.info.SharedParts) > 0 || call.info.OwnPart != ""
 }
 
 // checkQuarantine returns the decision on the call.
 func (call *call) checkQuarantine() hatchquarantine.Verdict {
-	if len(call.info.SharedParts) == 0 {
+	if !call.hasParts() {
 		return hatchquarantine.Verdict{}
 	}
 	return call.forwarder.quarantine.Check(time.Now(), call.quarantineRequest(), call.forwarder.fleet.TrialRank)
@@ -165,7 +170,7 @@
 		return
 	}
 	stream.attempts.RecordTermination()
-	if len(stream.info.SharedParts) == 0 {
+	if !stream.hasParts() {
 		return
 	}
 	process := hatchquarantine.ProcessDigest(head.Process())
@@ -174,7 +179,7 @@
 
 // recordAnswer records that a replica answers the request.
 func (stream *stream) recordAnswer() {
-	if len(stream.info.SharedParts) > 0 {
+	if stream.hasParts() {
 		stream.forwarder.handleSuspectChanges(stream.forwarder.quarantine.RecordAnswer(time.Now(), stream.quarantineRequest()))
 	}
 }
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -134,7 +134,7 @@
 		stream.fruitless = 0
 	}
 	stream.recordFailure(now, failure, culprits,
-		"events", stream.events, "terminated", terminated, "promptParts", stream.info.SharedParts)
+		"events", stream.events, "terminated", terminated, "promptParts", stream.info.SharedParts, "ownPart", stream.info.OwnPart)
 	return stream.attempts.HandleReplicaFailure(now, failure, pipeline.Nodes[0].Address, culprits, stream)
 }
 
--- a/hatchquarantine/evidence.go
+++ b/hatchquarantine/evidence.go
@@ -14,7 +14,7 @@
 	entry := table.suspects[part]
 	if entry == nil {
 		table.makeRoom(organisation)
-		entry = &suspect{sound: table.answered.latest(part)}
+		entry = &suspect{sound: table.answered.latest(part), identity: isIdentity(part)}
 		table.suspects[part] = entry
 	}
 	return entry
@@ -39,6 +39,12 @@
 		if onlyOwn && entry.firstOrganisation() != organisation {
 			continue
 		}
+		if least != nil && entry.identity != least.identity && len(entry.terminations) <= 1 && len(least.terminations) <= 1 {
+			if entry.identity {
+				victim, least = part, entry
+			}
+			continue
+		}
 		if least == nil || len(entry.terminations) < len(least.terminations) ||
 			len(entry.terminations) == len(least.terminations) && entry.latest().Before(least.latest()) {
 			victim, least = part, entry
@@ -195,9 +201,13 @@
 // whether it counts separately from the one before. It returns the time of the latest
 // that does.
 func (table *Table) each(entry *suspect, visit func(each termination, separate bool)) time.Time {
+	explains := table.explains
+	if entry.identity {
+		explains = table.identities
+	}
 	var last time.Time
 	for _, each := range entry.terminations {
-		if table.explains[each.process] > entry.processes {
+		if explains[each.process] > entry.processes {
 			continue
 		}
 		separate := last.IsZero() || each.at.Sub(last) >= minSpacing
@@ -210,15 +220,16 @@
 }
 
 // isAmbiguous reports whether a part that the request does not have was at all
-// terminations of the given one, and as many count against it. A trial of the request
-// then tells the two apart. The mutex must be held.
-func (table *Table) isAmbiguous(part dragonflyhatch.PromptPart, entry *suspect, requestParts []string) bool {
+// terminations of the given one, and as many count against it, and whether that is a whole
+// request. A trial of the request then tells the two apart. The mutex must be held.
+func (table *Table) isAmbiguous(part dragonflyhatch.PromptPart, entry *suspect, requestParts []string, identity string) (ambiguous, byIdentity bool) {
 	for other, alternative := range table.suspects {
-		if alternative.against >= entry.against && other.Service == part.Service && !slices.Contains(requestParts, other.ID) && alternative.includes(entry) {
-			return true
+		if alternative.against >= entry.against && other.Service == part.Service && other.ID != identity && !slices.Contains(requestParts, other.ID) && alternative.includes(entry) {
+			ambiguous = true
+			byIdentity = byIdentity || alternative.identity
 		}
 	}
-	return false
+	return ambiguous, byIdentity
 }
 
 // includes reports whether the entry has all terminations of the other one.
@@ -242,6 +253,7 @@
 		return nil
 	}
 	clear(table.explains)
+	clear(table.identities)
 	for part, entry := range table.suspects {
 		if entry.expired(now) {
 			delete(table.suspects, part)
@@ -250,6 +262,9 @@
 		entry.processes = entry.countProcesses()
 		for _, each := range entry.terminations {
 			table.explains[each.process] = max(table.explains[each.process], entry.processes)
+			if entry.identity {
+				table.identities[each.process] = max(table.identities[each.process], entry.processes)
+			}
 		}
 	}
 	for _, entry := range table.suspects {
--- a/hatchquarantine/table.go
+++ b/hatchquarantine/table.go
@@ -1,7 +1,9 @@
 package hatchquarantine
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -74,6 +76,28 @@
 	Service      string
 	Organisation string
 	Parts        []string // ids of the shared parts of the prompt
+	Own          string   // id of its last part; empty without parts
+}
+
+// identityPrefix begins the ids of entries on whole requests.
+const identityPrefix = "request/"
+
+// ids returns the ids of the entries that the request has: one for each shared part, and
+// one for the request as a whole, which its repeats under other ids have too.
+func (request Request) ids() []string {
+	if request.Own == "" {
+		return request.Parts
+	}
+	digest := xxhash.New()
+	for _, id := range request.Parts {
+		_, _ = digest.WriteString(id + "\x00") // never fails
+	}
+	_, _ = digest.WriteString(request.Own)
+	return append(slices.Clip(request.Parts), fmt.Sprintf("%s%016x", identityPrefix, digest.Sum64()))
+}
+
+func isIdentity(part dragonflyhatch.PromptPart) bool {
+	return strings.HasPrefix(part.ID, identityPrefix)
 }
 
 // Change is a change of what is known of a part, for the log.
@@ -95,8 +119,10 @@
 type suspect struct {
 	terminations []termination // oldest first, at most maxTerminations
 	cleared      []uint64      // processes whose terminations were followed by an answer
+	identity     bool          // the entry is on a whole request, not on a part
 	sound        time.Time     // latest answer; zero if none is known
 	trial        time.Time     // start of the latest trial; zero if there was none
+	wanted       time.Time     // when a trial was first wanted here
 	localTrial   bool          // this daemon's trial is in progress
 
 	// Set by update, for the decisions on requests.
@@ -106,15 +132,16 @@
 
 // Table is a daemon's evidence on all parts. Its methods may be called concurrently.
 type Table struct {
-	mu       sync.Mutex
-	suspects map[dragonflyhatch.PromptPart]*suspect
-	answered recentParts
-	explains map[uint64]int // largest number of terminations of a part that was at the process, by process
+	mu         sync.Mutex
+	suspects   map[dragonflyhatch.PromptPart]*suspect
+	answered   recentParts
+	explains   map[uint64]int // largest number of terminations of an entry that was at the process, by process
+	identities map[uint64]int // the same of entries on whole requests
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{suspects: make(map[dragonflyhatch.PromptPart]*suspect), explains: make(map[uint64]int)}
+	return &Table{suspects: make(map[dragonflyhatch.PromptPart]*suspect), explains: make(map[uint64]int), identities: make(map[uint64]int)}
 }
 
 // ProcessDigest returns the digest by which daemons identify a replica's process.
@@ -132,7 +159,7 @@
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	var changed []dragonflyhatch.PromptPart
-	for _, id := range request.Parts {
+	for _, id := range request.ids() {
 		part := dragonflyhatch.PromptPart{Service: request.Service, ID: id}
 		entry := table.entry(part, request.Organisation)
 		if entry.add(termination{process, request.Organisation, now}) {
@@ -148,9 +175,11 @@
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	var cleared []dragonflyhatch.PromptPart
-	for _, id := range request.Parts {
+	for _, id := range request.ids() {
 		part := dragonflyhatch.PromptPart{Service: request.Service, ID: id}
-		table.answered.add(now, part, request.Organisation)
+		if !isIdentity(part) {
+			table.answered.add(now, part, request.Organisation)
+		}
 		if entry := table.suspects[part]; entry != nil && entry.clear(now) {
 			cleared = append(cleared, part)
 		}
@@ -182,6 +211,10 @@
 	// has a request with the part, and rarely two of them at the same time.
 	step := holdTime(verdict.Terminations) / rankSteps
 	elapsed := now.Sub(free)
+	if isIdentity(verdict.Part) && verdict.Terminations < heldTerminations {
+		verdict.Action = Trial // the request itself, not one of many at all daemons
+		return verdict
+	}
 	position, allowed := rank(verdict.Part), 1<<min(elapsed/step, 30)
 	if position >= 0 && position < allowed {
 		verdict.Action = Trial
@@ -197,10 +230,12 @@
 func (table *Table) worst(now time.Time, request Request) (verdict Verdict, free time.Time) {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	if len(table.suspects) == 0 {
+	if len(table.suspects) == 0 || len(request.Parts) == 0 && request.Own == "" {
 		return Verdict{}, time.Time{}
 	}
-	for _, id := range request.Parts {
+	ids := request.ids()
+	identity := ids[len(ids)-1]
+	for _, id := range ids {
 		part := dragonflyhatch.PromptPart{Service: request.Service, ID: id}
 		entry := table.suspects[part]
 		if entry == nil || entry.expired(now) {
@@ -210,10 +245,20 @@
 		if count == 0 {
 			continue
 		}
-		if count >= heldTerminations && table.isAmbiguous(part, entry, request.Parts) {
-			count = heldTerminations - 1
+		var listened time.Time
+		if count >= heldTerminations && !isIdentity(part) {
+			switch ambiguous, byIdentity := table.isAmbiguous(part, entry, request.Parts, identity); {
+			case byIdentity:
+				// Another daemon may begin a trial now: wait for news of it.
+				if now.Sub(entry.wanted) > trialTime {
+					entry.wanted = now
+				}
+				count, listened = heldTerminations-1, entry.wanted.Add(firstHold)
+			case ambiguous:
+				count = heldTerminations - 1
+			}
 		}
-		free = later(free, last.Add(holdTime(count)))
+		free = later(free, later(listened, last.Add(holdTime(count))))
 		if entry.isTried(now) {
 			free = later(free, later(entry.trial.Add(trialTime), now.Add(firstHold)))
 		}
@@ -264,7 +309,7 @@
 // The mutex must be held.
 func (table *Table) suspected(request Request) []*suspect {
 	var suspects []*suspect
-	for _, id := range request.Parts {
+	for _, id := range request.ids() {
 		entry := table.suspects[dragonflyhatch.PromptPart{Service: request.Service, ID: id}]
 		if entry == nil {
 			continue
