--- a/hatchquarantine/evidence.go
+++ b/hatchquarantine/evidence.go
@@ -288,7 +288,7 @@
 	if len(entry.terminations) == 0 {
 		return now.Sub(entry.sound) > newsTime
 	}
-	return now.Sub(entry.last()) > holdTime(len(entry.terminations))+suspicionRetention
+	return now.Sub(entry.last()) > entry.hold(len(entry.terminations))+suspicionRetention
 }
 
 // Snapshot returns the evidence for a peer: at most limit parts, those with the most
--- a/hatchquarantine/table.go
+++ b/hatchquarantine/table.go
@@ -22,6 +22,9 @@
 	// holdFactor multiplies the hold with each further termination, up to maxHold.
 	holdFactor = 3
 	maxHold    = 10 * time.Minute
+	// foreignHold is how long a request is delayed after a first termination under the
+	// same request at another daemon, which then tries it again itself.
+	foreignHold = 750 * time.Millisecond
 	// heldTerminations is the number of terminations from which on requests with the
 	// part are refused instead of delayed.
 	heldTerminations = 2
@@ -69,6 +72,7 @@
 	Part         dragonflyhatch.PromptPart
 	Terminations int           // that count against the part
 	Wait         time.Duration // until the next decision may differ
+	own          bool          // the part is a whole request that this daemon saw at a termination
 }
 
 // Request is what the decision on a request depends on.
@@ -123,6 +127,7 @@
 	sound        time.Time     // latest answer; zero if none is known
 	trial        time.Time     // start of the latest trial; zero if there was none
 	wanted       time.Time     // when a trial was first wanted here
+	local        bool          // a termination was seen by this daemon
 	localTrial   bool          // this daemon's trial is in progress
 
 	// Set by update, for the decisions on requests.
@@ -162,6 +167,7 @@
 	for _, id := range request.ids() {
 		part := dragonflyhatch.PromptPart{Service: request.Service, ID: id}
 		entry := table.entry(part, request.Organisation)
+		entry.local = true
 		if entry.add(termination{process, request.Organisation, now}) {
 			entry.localTrial = false
 			changed = append(changed, part)
@@ -211,8 +217,8 @@
 	// has a request with the part, and rarely two of them at the same time.
 	step := holdTime(verdict.Terminations) / rankSteps
 	elapsed := now.Sub(free)
-	if isIdentity(verdict.Part) && verdict.Terminations < heldTerminations {
-		verdict.Action = Trial // the request itself, not one of many at all daemons
+	if verdict.own && verdict.Terminations < heldTerminations {
+		verdict.Action = Trial // of the same request, not of one of many at all daemons
 		return verdict
 	}
 	position, allowed := rank(verdict.Part), 1<<min(elapsed/step, 30)
@@ -258,12 +264,13 @@
 				count = heldTerminations - 1
 			}
 		}
-		free = later(free, later(listened, last.Add(holdTime(count))))
+		free = later(free, later(listened, last.Add(entry.hold(count))))
 		if entry.isTried(now) {
 			free = later(free, later(entry.trial.Add(trialTime), now.Add(firstHold)))
 		}
 		if count > verdict.Terminations {
 			verdict.Part, verdict.Terminations = part, count
+			verdict.own = entry.identity && entry.local
 		}
 	}
 	switch {
@@ -348,7 +355,7 @@
 		if count == 0 || entry.expired(now) {
 			continue
 		}
-		status := Status{PromptPart: part, Terminations: count, Held: count >= heldTerminations, SinceLast: now.Sub(last), Hold: holdTime(count)}
+		status := Status{PromptPart: part, Terminations: count, Held: count >= heldTerminations, SinceLast: now.Sub(last), Hold: entry.hold(count)}
 		for _, each := range entry.terminations {
 			if !slices.Contains(status.Organisations, each.organisation) {
 				status.Organisations = append(status.Organisations, each.organisation)
@@ -360,6 +367,20 @@
 	return list
 }
 
+// hold returns the time from the latest of a number of terminations until a trial. That of
+// a whole request would end one more replica with each trial, and concerns few others.
+func (entry *suspect) hold(terminations int) time.Duration {
+	switch {
+	case !entry.identity:
+		return holdTime(terminations)
+	case terminations >= heldTerminations:
+		return maxHold
+	case !entry.local:
+		return foreignHold
+	}
+	return firstHold
+}
+
 // holdTime returns the time from the latest of a number of terminations until a trial.
 func holdTime(terminations int) time.Duration {
 	if terminations < heldTerminations {
