--- a/hatchquarantine/evidence.go
+++ b/hatchquarantine/evidence.go
@@ -352,6 +352,9 @@
 	var changed []dragonflyhatch.PromptPart
 	for _, each := range received[:min(len(received), maxSuspects)] {
 		entry, known := table.suspects[each.Part]
+		if !known && isIdentity(each.Part) && len(each.Terminations) < heldTerminations && table.countIdentities() >= maxReportedRequests {
+			continue // else peers would displace each other's entries again and again
+		}
 		if !known {
 			organisation := ""
 			if len(each.Terminations) > 0 {
@@ -381,6 +384,17 @@
 	return table.update(now, changed), refuted
 }
 
+// countIdentities returns the number of entries on whole requests. The mutex must be held.
+func (table *Table) countIdentities() int {
+	count := 0
+	for _, entry := range table.suspects {
+		if entry.identity {
+			count++
+		}
+	}
+	return count
+}
+
 // compareParts orders by the numbers, then by the parts.
 func compareParts(first, second int, a, b dragonflyhatch.PromptPart) int {
 	return cmp.Or(cmp.Compare(first, second), cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
--- a/hatchquarantine/simulation_test.go
+++ b/hatchquarantine/simulation_test.go
@@ -27,6 +27,7 @@
 	deadly  float64 // share of the requests with a deadly part, for each of the parts
 	parts   int     // deadly parts
 	common  bool    // the deadly part is one that half of the requests have
+	own     bool    // whole requests are deadly, not their shared parts; a tenth of the sound ones are repeats of five
 	ends    int     // unrelated terminations of all heads at once, 7 s apart
 }
 
@@ -52,6 +53,8 @@
 	pushing []bool // a push of the daemon is due
 	heads   []*simulatedHead
 
+	arrived int
+
 	deadlyEnds, soundSent, soundRefused, soundHeld int
 }
 
@@ -132,13 +135,22 @@
 	arrived := &simulatedRequest{daemon: daemon, request: Request{
 		Service: "lm", Organisation: fmt.Sprint("o", simulation.random.IntN(10)), Parts: []string{fmt.Sprint("part-", first)},
 	}}
+	simulation.arrived++
+	arrived.request.Own = fmt.Sprint("own-", simulation.arrived)
+	if simulation.spec.own && simulation.arrived%10 == 0 {
+		arrived.request.Parts, arrived.request.Own = []string{"part-0"}, fmt.Sprint("repeated-", simulation.arrived/10%5)
+	}
 	past := simulation.now.Sub(start) > 4*time.Second
 	if draw := simulation.random.Float64(); past && simulation.spec.common && draw < 0.5 {
 		arrived.deadly, arrived.request.Parts[0] = true, "common"
 	} else if part := int(draw / max(simulation.spec.deadly, 1e-9)); past && part < simulation.spec.parts {
 		arrived.deadly = true
 		arrived.request.Organisation = fmt.Sprint("o", part)
-		arrived.request.Parts = append(arrived.request.Parts, fmt.Sprint("deadly-", part))
+		if simulation.spec.own {
+			arrived.request.Parts, arrived.request.Own = []string{"part-0"}, fmt.Sprint("deadly-", part)
+		} else {
+			arrived.request.Parts = append(arrived.request.Parts, fmt.Sprint("deadly-", part))
+		}
 	}
 	if !arrived.deadly {
 		simulation.soundSent++
@@ -306,6 +318,9 @@
 		{"two parts in 2% each", fleetSpec{deadly: 0.02, parts: 2}, 16, map[int]int{12: 5, 100: 1}},
 		{"a part that half of them share", fleetSpec{common: true}, 16, map[int]int{12: 5, 100: 1}},
 		{"a part in 2%, all heads lost twice", fleetSpec{deadly: 0.02, parts: 1, ends: 2}, 8, map[int]int{12: 5, 100: 1}},
+		{"a request in 3%, the parts sound", fleetSpec{deadly: 0.03, parts: 1, own: true}, 8, map[int]int{12: 5, 100: 2, 300: 1}},
+		{"three requests in 1% each", fleetSpec{deadly: 0.01, parts: 3, own: true}, 10, map[int]int{12: 5, 100: 2, 300: 1}},
+		{"the same, all heads lost twice", fleetSpec{deadly: 0.01, parts: 3, own: true, ends: 2}, 10, map[int]int{12: 5, 100: 2, 300: 1}},
 		{"no such part, all heads lost thrice", fleetSpec{ends: 3}, 0, map[int]int{12: 5, 100: 1, 300: 1}},
 	} {
 		for _, daemons := range slices.Sorted(maps.Keys(scenario.runs)) {
--- a/hatchquarantine/table.go
+++ b/hatchquarantine/table.go
@@ -50,6 +50,7 @@
 	maxSuspects                = 256
 	maxSuspectsPerOrganisation = 32
 	maxTerminations            = 12 // of one part
+	maxReportedRequests        = 64 // with one termination, of which only peers know
 	maxSimultaneous            = 3  // terminations of one part less than minSpacing apart
 )
 
@@ -180,12 +181,15 @@
 func (table *Table) RecordAnswer(now time.Time, request Request) []Change {
 	table.mu.Lock()
 	defer table.mu.Unlock()
+	for _, id := range request.Parts {
+		table.answered.add(now, dragonflyhatch.PromptPart{Service: request.Service, ID: id}, request.Organisation)
+	}
+	if len(table.suspects) == 0 {
+		return nil
+	}
 	var cleared []dragonflyhatch.PromptPart
 	for _, id := range request.ids() {
 		part := dragonflyhatch.PromptPart{Service: request.Service, ID: id}
-		if !isIdentity(part) {
-			table.answered.add(now, part, request.Organisation)
-		}
 		if entry := table.suspects[part]; entry != nil && entry.clear(now) {
 			cleared = append(cleared, part)
 		}
--- a/hatchquarantine/table_test.go
+++ b/hatchquarantine/table_test.go
@@ -105,6 +105,42 @@
 	})
 }
 
+// TestWholeRequests guards against a request that is deadly by what is its own, and comes back under new ids at
+// other daemons, and against sound requests that are refused because they share its parts.
+func TestWholeRequests(t *testing.T) {
+	deadly := Request{Service: "lm", Organisation: "a", Parts: []string{"shared"}, Own: "deadly"}
+	sound := Request{Service: "lm", Organisation: "a", Parts: []string{"shared"}, Own: "sound"}
+	convey.Convey("A request is refused after two terminations, also at a daemon that only heard of them; one with its parts is tried", t, func() {
+		first, second := New(), New()
+		first.RecordTermination(at(0), 1, deadly)
+		second.Merge(at(20), first.Snapshot(at(10), 32))
+		convey.So(first.check(160, deadly), convey.ShouldEqual, Trial)
+		convey.So(second.check(160, deadly), convey.ShouldEqual, Delay)
+		first.RecordTermination(at(300), 2, deadly)
+		second.Merge(at(320), first.Snapshot(at(310), 32))
+		for _, table := range []*Table{first, second} {
+			convey.So(table.check(330, deadly), convey.ShouldEqual, Refuse)
+			convey.So(table.check(330, sound), convey.ShouldEqual, Delay)
+			convey.So(table.check(490, sound), convey.ShouldEqual, Trial)
+			table.RecordAnswer(at(600), sound)
+			convey.So(table.check(610, sound), convey.ShouldEqual, Send)
+			convey.So(table.check(300_000, deadly), convey.ShouldEqual, Refuse)
+			convey.So(table.Lift(at(300_000), dragonflyhatch.PromptPart{Service: "lm", ID: deadly.ids()[1]}), convey.ShouldHaveLength, 1)
+			convey.So(table.check(300_001, deadly), convey.ShouldEqual, Send)
+		}
+	})
+	convey.Convey("A request without shared parts has evidence of its own, one without parts has none", t, func() {
+		table := New()
+		alone := Request{Service: "lm", Organisation: "a", Own: "alone"}
+		for _, process := range []uint64{1, 2} {
+			table.RecordTermination(at(1000*int(process)), process, alone)
+			table.RecordTermination(at(1000*int(process)), process, request("a"))
+		}
+		convey.So(table.check(2010, alone), convey.ShouldEqual, Refuse)
+		convey.So(table.check(2010, request("a")), convey.ShouldEqual, Send)
+	})
+}
+
 // TestOrganisationsCannotBlameEachOther guards against a caller that gets the parts of others held back by
 // naming them in requests that terminate replicas.
 func TestOrganisationsCannotBlameEachOther(t *testing.T) {
