--- a/fleet.go
+++ b/fleet.go
@@ -28,6 +28,9 @@
 	LeavingReplicas    []ReplicaProcess // processes that stated in a response that they are leaving
 	ReplicaLimits      []ReplicaLimit   // limits that replicas have named, or ended, lately
 	SuspectParts       []SuspectPart    // parts of prompts suspected of terminating replicas
+	RefusingReplicas   []ReplicaRefusals
+	EngineUsage        []EngineUsage
+	Demand             []ServiceDemand // of services whose routes have different priorities
 	RoutingVersion     uint64
 	ReplicasVersion    uint64
 	ReplicasDigest     uint64          // of the registrations that the sender knows; equal digests mean equal registrations
@@ -76,11 +79,49 @@
 	Wait    time.Duration
 }
 
-// QueueWait is how long a stream is expected to wait in the queue of an engine.
+// QueueWait is how long a stream is expected to wait in the queue of an engine, and the
+// streams that it reported as the head of its pipeline.
 type QueueWait struct {
-	Address string
-	Wait    time.Duration
-	Age     time.Duration // since it was observed
+	Address  string
+	Wait     time.Duration
+	Running  int           // streams
+	Waiting  int           // streams
+	Capacity int           // streams that its pipeline can run at the same time; 0 if unknown
+	Age      time.Duration // since it was observed
+}
+
+// ReplicaRefusals is what is known of a replica's process that has refused requests for
+// lack of capacity since it last took one.
+type ReplicaRefusals struct {
+	Process  ReplicaProcess
+	Refusals int           // number of refusals that are known
+	First    time.Duration // since the first of them
+	Latest   time.Duration // since the latest of them
+	Accepted time.Duration // since the replica last took a request; negative if that is not known
+}
+
+// EngineUsage is the share of an engine's KV memory that it reported as in use.
+type EngineUsage struct {
+	Process ReplicaProcess
+	Share   float64       // 0 to 1
+	Age     time.Duration // since it was reported
+}
+
+// ServiceDemand is the work that callers ask of one daemon for a service, averaged over
+// the daemons. Work is in tokens: those of the prompt, and those of the expected answer
+// weighted by what they cost relative to a token of the prompt.
+type ServiceDemand struct {
+	Service       string
+	Ranks         []float64            // work a second by rank, the most urgent first
+	RunTime       time.Duration        // mean time that a stream runs
+	Organisations []OrganisationDemand // those with the most work
+}
+
+// OrganisationDemand is the work a second that an organisation asks of one daemon,
+// averaged over the daemons.
+type OrganisationDemand struct {
+	Name string
+	Work float64
 }
 
 // ReplicaProcess identifies one process of a replica.
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -30,6 +30,9 @@
 	// Quarantine returns the suspected parts of prompts as JSON. It first lifts the
 	// suspicion of the given part, unless its ID is empty, and reports whether it did.
 	Quarantine(lift dragonflyhatch.PromptPart) (parts []byte, lifted bool)
+	// Preview returns as JSON where the described request would go now, and why. It
+	// sends nothing.
+	Preview(request []byte) ([]byte, error)
 }
 
 // NewFleetHandler returns the HTTP handler of the Fleet service for the daemon.
@@ -97,6 +100,15 @@
 	fleetIdleTimeout = 5 * time.Second
 )
 
+// Preview returns where the described request would go now, and why.
+func (handler *fleetHandler) Preview(_ context.Context, request *PreviewRequest) (*PreviewReply, error) {
+	preview, err := handler.daemon.Preview(request.GetRequest())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("request", err.Error())
+	}
+	return &PreviewReply{Preview: preview}, nil
+}
+
 // FleetClient calls the Fleet service of other daemons.
 type FleetClient struct {
 	http      *http.Client
@@ -190,6 +202,18 @@
 	return reply.GetParts(), reply.GetLifted(), nil
 }
 
+// Preview returns as JSON where the daemon at the address would send the described
+// request now, and why. Nothing is sent to a replica.
+func (client *FleetClient) Preview(ctx context.Context, address string, request []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, client.timeout)
+	defer cancel()
+	reply, err := NewFleetProtobufClient("http://"+address, client.http).Preview(ctx, &PreviewRequest{Request: request})
+	if err != nil {
+		return nil, errors.Wrapf(err, "daemon %s", address)
+	}
+	return reply.GetPreview(), nil
+}
+
 func encodeGossip(gossip dragonflyhatch.Gossip) *GossipMessage {
 	message := &GossipMessage{
 		From:            encodeMember(gossip.From),
@@ -212,6 +236,7 @@
 	for _, wait := range gossip.QueueWaits {
 		message.QueueWaits = append(message.QueueWaits, &QueueWait{
 			Address: wait.Address, WaitMs: uint32(wait.Wait.Milliseconds()), AgeMs: uint32(wait.Age.Milliseconds()),
+			Running: uint32(wait.Running), Waiting: uint32(wait.Waiting), Capacity: uint32(wait.Capacity),
 		})
 	}
 	for _, limit := range gossip.ReplicaLimits {
@@ -222,6 +247,7 @@
 	for _, suspect := range gossip.SuspectParts {
 		message.SuspectParts = append(message.SuspectParts, encodeSuspect(suspect))
 	}
+	encodeLoad(message, gossip)
 	if len(gossip.ReplicaUpdates) > 0 {
 		changes, err := json.Marshal(gossip.ReplicaUpdates)
 		if err == nil { // err is nil for plain structs; without changes the peer would fetch a snapshot
@@ -253,6 +279,7 @@
 	for _, wait := range message.GetQueueWaits() {
 		gossip.QueueWaits = append(gossip.QueueWaits, dragonflyhatch.QueueWait{
 			Address: wait.GetAddress(), Wait: time.Duration(wait.GetWaitMs()) * time.Millisecond, Age: time.Duration(wait.GetAgeMs()) * time.Millisecond,
+			Running: int(wait.GetRunning()), Waiting: int(wait.GetWaiting()), Capacity: int(wait.GetCapacity()),
 		})
 	}
 	for _, limit := range message.GetReplicaLimits() {
@@ -263,6 +290,7 @@
 	for _, suspect := range message.GetSuspectParts() {
 		gossip.SuspectParts = append(gossip.SuspectParts, decodeSuspect(suspect))
 	}
+	decodeLoad(&gossip, message)
 	if changes := message.GetReplicaNews(); len(changes) > 0 && json.Unmarshal(changes, &gossip.ReplicaUpdates) == nil {
 		gossip.ReplicaUpdatesFrom = message.GetReplicaNewsFrom()
 	}
--- a/hatchpeer/fleet_test.go
+++ b/hatchpeer/fleet_test.go
@@ -57,6 +57,7 @@
 }
 
 func (stubDaemon) Quarantine(dragonflyhatch.PromptPart) ([]byte, bool) { return nil, false }
+func (stubDaemon) Preview([]byte) ([]byte, error) { return nil, nil }
 
 func (daemon stubDaemon) Snapshot(dragonflyhatch.SnapshotKind) (uint64, []byte) {
 	return daemon.version, daemon.value
