Admission by rank, share and work where routes have different priorities

Cause: in an overload the admission looks only at the wait at one head, each daemon for itself, on loads that are about a second old. It swings, and the least urgent kind, which has the longest target, is served best.

Change: for a service whose routes have different priorities, the pair of the organisation's and the route's priority is the rank of a request. Engines get it as the priority; the daemons derive the share of the offered work that fits from what all heads report and from the fleet's demand, which they average by gossip (dynamic average consensus), and admit the most urgent ranks first, then within a rank organisations within their share and short requests first. Other services take the old path.

--- a/fleet.go
+++ b/fleet.go
@@ -82,12 +82,11 @@
 // QueueWait is how long a stream is expected to wait in the queue of an engine, and the
 // streams that it reported as the head of its pipeline.
 type QueueWait struct {
-	Address  string
-	Wait     time.Duration
-	Running  int           // streams
-	Waiting  int           // streams
-	Capacity int           // streams that its pipeline can run at the same time; 0 if unknown
-	Age      time.Duration // since it was observed
+	Address string
+	Wait    time.Duration
+	Running int           // streams; 0 if that is not known
+	Waiting int           // streams
+	Age     time.Duration // since it was observed
 }
 
 // ReplicaRefusals is what is known of a replica's process that has refused requests for
--- a/gateway.go
+++ b/gateway.go
@@ -172,14 +172,15 @@
 
 // RequestInfo is the information in the headers of a caller's request.
 type RequestInfo struct {
-	ID           string        // of the caller's attempt
-	TimeLeft     time.Duration // how long the caller will wait; 0 if not given
-	Key          string        // API key of the caller's organisation
-	PromptTokens int
-	OutputTokens int      // maximum
-	SharedParts  []string // ids of the prompt's parts that other requests may have too, at most MaxSharedParts
-	OwnPart      string   // id of the prompt's last part, of the request or its session; empty without parts
-	ResumeAfter  string   // id of the last event that the caller received; empty for a new stream
+	ID             string        // of the caller's attempt
+	TimeLeft       time.Duration // how long the caller will wait; 0 if not given
+	Key            string        // API key of the caller's organisation
+	PromptTokens   int
+	OutputTokens   int      // maximum
+	ExpectedTokens int      // the caller's estimate of the tokens of the answer; 0 if not given
+	SharedParts    []string // ids of the prompt's parts that other requests may have too, at most MaxSharedParts
+	OwnPart        string   // id of the prompt's last part, of the request or its session; empty without parts
+	ResumeAfter    string   // id of the last event that the caller received; empty for a new stream
 }
 
 // Attempt is the information that the router adds to a request that it sends to a
--- a/hatchforward/admission.go
+++ b/hatchforward/admission.go
@@ -17,6 +17,9 @@
 	if stream.service.Model == nil || stream.headersSent || stream.attempts.Count() > 0 || stream.resumeAfter != "" {
 		return nil
 	}
+	if rank, ranks := stream.rank(); ranks > 0 {
+		return stream.checkRank(head, rank, ranks)
+	}
 	forwarder := stream.forwarder
 	returned := forwarder.hasReturned(stream.route.Name, stream.info.TimeLeft)
 	wait := head.ExpectedWait(time.Now())
@@ -33,11 +36,17 @@
 // hasReturned reports whether a request of the route that has the given time left has
 // been refused before.
 func (forwarder *Forwarder) hasReturned(route string, left time.Duration) bool {
+	return hatchlimit.HasReturned(left, forwarder.longestTimeLeft(route, left))
+}
+
+// longestTimeLeft returns the longest time left of the route's requests, after one with the
+// given time left.
+func (forwarder *Forwarder) longestTimeLeft(route string, left time.Duration) time.Duration {
 	forwarder.mu.Lock()
 	defer forwarder.mu.Unlock()
 	longest := hatchlimit.LongestLeft(forwarder.longestLeft[route], left)
 	forwarder.longestLeft[route] = longest
-	return hatchlimit.HasReturned(left, longest)
+	return longest
 }
 
 // recordQueue records how long further streams are expected to wait at the pipeline's
@@ -48,7 +57,9 @@
 	}
 	capacity := min(pipeline.StreamCapacity(stream.service.Model), load.Slots)
 	wait := hatchlimit.QueueWait(load.Waiting, load.Running, capacity, stream.forwarder.meanRunTime(stream.service.Name))
-	pipeline.Nodes[0].RecordQueueWait(time.Now(), wait)
+	now := time.Now()
+	pipeline.Nodes[0].RecordQueueWait(now, wait)
+	pipeline.Nodes[0].RecordHeadLoad(now, load.Running, load.Waiting)
 }
 
 // runTimeWeight is the weight of the latest stream in the mean run time.
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -82,6 +82,8 @@
 	longestLeft map[string]time.Duration  // longest time left of a new request, by route
 	runTimes    map[string]time.Duration  // mean time of a stream from its first event to its end, by service
 	tokenTimes  map[string]tokenTime      // of streams, by service
+
+	ranked *rankedAdmissions
 }
 
 // Option configures a forwarder.
@@ -134,6 +136,7 @@
 		pipelineWait: defaultPipelineWait,
 		memory:       newBodyMemory(defaultBodyMemory),
 		quarantine:   hatchquarantine.New(),
+		ranked:       newRankedAdmissions(),
 	}
 	forwarder.stopped, forwarder.cancelStopped = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -165,6 +168,7 @@
 	ctx            context.Context // done when the caller disconnects or the deadline passes
 
 	// What the choice of a replica was based on, for the log.
+	table                *hatchroute.Table
 	configurationVersion uint64
 	replicasVersion      uint64 // version of the registered replicas
 	chosenAddress        string // the replica or the head of the pipeline that was chosen last
@@ -218,7 +222,7 @@
 	if table == nil {
 		return dragonflyhatch.Failf(dragonflyhatch.KindNotReady, "no configuration yet")
 	}
-	call.configurationVersion = table.Version
+	call.table, call.configurationVersion = table, table.Version
 	path, _, _ := strings.Cut(call.request.RequestURI, "?")
 	call.route = table.Route(call.request.Host, path)
 	if call.route == nil {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -303,12 +303,19 @@
 }
 
 // priority returns the request's priority at the engines, from 0 (served first) to
-// 9: that of the organisation, or else of the route. A resumed stream has priority
-// 0, because its caller is waiting for the next event.
+// 9: by its rank, or if the configuration asks for none that of the organisation, or else
+// of the route. A resumed stream has priority 0, because its caller is waiting for the
+// next event.
 func (stream *stream) priority() int {
 	if stream.headersSent {
 		return 0
 	}
+	if rank, ranks := stream.rank(); ranks > 0 {
+		if stream.resumeAfter != "" {
+			return 0
+		}
+		return rankPriority(rank, ranks)
+	}
 	priority := stream.route.Priority
 	if stream.organisation != nil {
 		priority = stream.organisation.Priority
--- a/hatchgateway/follow_test.go
+++ b/hatchgateway/follow_test.go
@@ -32,7 +32,7 @@
 }
 
 func (*versionedPeer) Quarantine(dragonflyhatch.PromptPart) ([]byte, bool) { return nil, false }
-func (*versionedPeer) Preview([]byte) ([]byte, error) { return nil, nil }
+func (*versionedPeer) Preview([]byte) ([]byte, error)                      { return nil, nil }
 
 func (peer *versionedPeer) Snapshot(dragonflyhatch.SnapshotKind) (uint64, []byte) {
 	peer.mu.Lock()
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -129,6 +129,7 @@
 		return err
 	}
 	gateway.mergeGossip(reply)
+	gateway.forwarder.AdoptDemand(time.Now(), message.Demand, reply.Demand)
 	gateway.mu.Lock()
 	gateway.peerVersions[address] = reply.ReplicasVersion
 	gateway.membersDiffer = reply.MembersDigest != gateway.roster.Digest()
@@ -160,12 +161,14 @@
 	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
 	gossip.ReplicaLimits = gateway.View().Limits(now, maxLimitsSent)
 	gossip.SuspectParts = gateway.quarantine.Snapshot(now, maxSuspectsSent)
+	gossip.Demand = gateway.forwarder.Demand(now)
 	return gossip
 }
 
 // ExchangeGossip merges a peer's gossip and returns the daemon's own.
 func (gateway *Gateway) ExchangeGossip(gossip dragonflyhatch.Gossip) dragonflyhatch.Gossip {
 	gateway.mergeGossip(gossip)
+	gateway.forwarder.MergeDemand(time.Now(), gossip.Demand)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	return gateway.composeGossip(gossip.MembersDigest != gateway.roster.Digest(), gossip.ReplicasVersion)
@@ -261,7 +264,11 @@
 	view := gateway.View()
 	for _, wait := range waits[:min(len(waits), maxWaitsSent)] {
 		if node := view.NodeAt(wait.Address); node != nil {
-			node.RecordQueueWait(now.Add(-wait.Age), wait.Wait)
+			observed := now.Add(-wait.Age)
+			node.RecordQueueWait(observed, wait.Wait)
+			if wait.Running > 0 {
+				node.RecordHeadLoad(observed, wait.Running, wait.Waiting)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/hatchlimit/demand.go
@@ -0,0 +1,220 @@
+package hatchlimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"dragonflyhatch"
+)
+
+const (
+	// demandWindow is the time constant of the demand. A burst of a few seconds is seen
+	// while it lasts; at 180 streams a second the mean over the fleet is accurate to a
+	// few parts in 100.
+	demandWindow = 1500 * time.Millisecond
+	// spreadTime is the time constant with which the own demand becomes part of the mean.
+	// It is a few exchanges with peers, so that a single request does not show in the mean
+	// of its own daemon before it is shared with others.
+	spreadTime = 600 * time.Millisecond
+	// demandLeak is the share, per second, by which the fleet's mean moves back to this
+	// daemon's own demand. It removes what lost messages and lost daemons have left in
+	// the mean.
+	demandLeak = 0.1
+	// maxOrganisations bounds the organisations whose demand is kept and sent. Others
+	// ask for less than these, so that their share is known well enough.
+	maxOrganisations = 16
+	// negligibleWork is the work, in tokens a second, below which an organisation is
+	// forgotten.
+	negligibleWork = 1.0
+	// maxWork bounds the work, in tokens a second, that a message can add.
+	maxWork = 1e9
+)
+
+// decayingRate is a rate that follows its events with the time constant demandWindow.
+type decayingRate struct {
+	value float64 // per second
+	at    time.Time
+}
+
+func (rate *decayingRate) decay(now time.Time) float64 {
+	if elapsed := now.Sub(rate.at); elapsed > 0 {
+		rate.value *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+		rate.at = now
+	}
+	return rate.value
+}
+
+func (rate *decayingRate) add(now time.Time, amount float64) {
+	rate.decay(now)
+	rate.value += amount / demandWindow.Seconds()
+}
+
+// Demand tracks the work that the callers of one service ask for: at this daemon, and on
+// average at the daemons of the fleet. The average follows from exchanges with peers, in
+// which both sides take the mean of their averages, while changes of the own demand are
+// added to it (dynamic average consensus). It needs no daemon that adds up, and a daemon
+// that is lost only takes its deviation from the mean with it. Demand is not safe for
+// concurrent use.
+type Demand struct {
+	ranks         []*meanRate
+	organisations map[string]*meanRate
+	at            time.Time // of the last update
+}
+
+// meanRate is the rate at this daemon and its average over the fleet.
+type meanRate struct {
+	own   decayingRate
+	known float64 // own rate as far as it is part of the mean
+	mean  float64
+}
+
+// update adds a part of the change of the own rate to the mean, and moves the mean towards
+// the own rate.
+func (rate *meanRate) update(now time.Time, part, leak float64) {
+	own := rate.own.decay(now)
+	change := part * (own - rate.known)
+	rate.mean += change
+	rate.known += change
+	rate.mean += leak * (own - rate.mean)
+}
+
+// NewDemand returns the demand for a service with the given number of ranks.
+func NewDemand(ranks int) *Demand {
+	demand := &Demand{organisations: make(map[string]*meanRate)}
+	for range ranks {
+		demand.ranks = append(demand.ranks, new(meanRate))
+	}
+	return demand
+}
+
+// Add records a new request.
+func (demand *Demand) Add(now time.Time, rank int, organisation string, work float64) {
+	demand.ranks[min(max(rank, 0), len(demand.ranks)-1)].own.add(now, work)
+	if organisation == "" {
+		return
+	}
+	rate, ok := demand.organisations[organisation]
+	if !ok {
+		rate = new(meanRate)
+		demand.organisations[organisation] = rate
+	}
+	rate.own.add(now, work)
+}
+
+// Update brings the means up to the time.
+func (demand *Demand) Update(now time.Time) {
+	elapsed := 0.0
+	if !demand.at.IsZero() {
+		elapsed = max(now.Sub(demand.at).Seconds(), 0)
+	}
+	demand.at = now
+	part, leak := 1-math.Exp(-elapsed/spreadTime.Seconds()), min(demandLeak*elapsed, 1)
+	for _, rate := range demand.ranks {
+		rate.update(now, part, leak)
+	}
+	for name, rate := range demand.organisations {
+		rate.update(now, part, leak)
+		if math.Abs(rate.mean) < negligibleWork && rate.known < negligibleWork {
+			delete(demand.organisations, name)
+		}
+	}
+}
+
+// means returns the averages by rank. At a daemon that has had no request for a while they
+// may be negative for a moment, as the work that it has stopped to see is taken off.
+func (demand *Demand) means() []float64 {
+	means := make([]float64, len(demand.ranks))
+	for rank, rate := range demand.ranks {
+		means[rank] = rate.mean
+	}
+	return means
+}
+
+// Means returns the average work a second by rank, at least 0.
+func (demand *Demand) Means() []float64 {
+	means := demand.means()
+	for rank := range means {
+		means[rank] = max(means[rank], 0)
+	}
+	return means
+}
+
+// Organisations returns the organisations with the highest average work, the highest
+// first.
+func (demand *Demand) Organisations() []dragonflyhatch.OrganisationDemand {
+	var organisations []dragonflyhatch.OrganisationDemand
+	for name, rate := range demand.organisations {
+		organisations = append(organisations, dragonflyhatch.OrganisationDemand{Name: name, Work: rate.mean})
+	}
+	slices.SortFunc(organisations, func(a, b dragonflyhatch.OrganisationDemand) int {
+		return cmp.Or(cmp.Compare(b.Work, a.Work), cmp.Compare(a.Name, b.Name))
+	})
+	return organisations[:min(len(organisations), maxOrganisations)]
+}
+
+// Digest returns the averages for a peer, with the organisations if they are wanted.
+func (demand *Demand) Digest(now time.Time, organisations bool) dragonflyhatch.ServiceDemand {
+	demand.Update(now)
+	digest := dragonflyhatch.ServiceDemand{Ranks: demand.means()}
+	if organisations {
+		digest.Organisations = demand.Organisations()
+	}
+	return digest
+}
+
+// Merge takes the mean of the averages here and those that a peer has sent. The peer
+// adopts the result, which is sent to it as the answer.
+func (demand *Demand) Merge(now time.Time, peer dragonflyhatch.ServiceDemand) {
+	demand.shift(now, peer, func(mean, work float64) float64 { return (work - mean) / 2 })
+}
+
+// Adopt applies the answer of a peer that has merged the digest sent to it: both then have
+// the same averages, and the sum over the fleet is unchanged, also if this daemon's
+// averages have changed meanwhile.
+func (demand *Demand) Adopt(now time.Time, sent, answer dragonflyhatch.ServiceDemand) {
+	if len(sent.Ranks) != len(answer.Ranks) {
+		return
+	}
+	change := dragonflyhatch.ServiceDemand{}
+	for rank := range sent.Ranks {
+		change.Ranks = append(change.Ranks, answer.Ranks[rank]-sent.Ranks[rank])
+	}
+	before := make(map[string]float64, len(sent.Organisations))
+	for _, organisation := range sent.Organisations {
+		before[organisation.Name] = organisation.Work
+	}
+	for _, organisation := range answer.Organisations {
+		if work, ok := before[organisation.Name]; ok {
+			change.Organisations = append(change.Organisations, dragonflyhatch.OrganisationDemand{Name: organisation.Name, Work: organisation.Work - work})
+		}
+	}
+	demand.shift(now, change, func(_, difference float64) float64 { return difference })
+}
+
+// shift adds to each average what the function returns for it and the value of the other.
+func (demand *Demand) shift(now time.Time, other dragonflyhatch.ServiceDemand, change func(mean, value float64) float64) {
+	if len(other.Ranks) != len(demand.ranks) {
+		return // another version of the configuration
+	}
+	demand.Update(now)
+	for rank, value := range other.Ranks {
+		demand.ranks[rank].shift(change(demand.ranks[rank].mean, value))
+	}
+	for _, organisation := range other.Organisations[:min(len(other.Organisations), maxOrganisations)] {
+		rate, ok := demand.organisations[organisation.Name]
+		if !ok {
+			rate = new(meanRate)
+			demand.organisations[organisation.Name] = rate
+		}
+		rate.shift(change(rate.mean, organisation.Work))
+	}
+}
+
+// shift adds the change to the mean, unless it is no number that a peer can have meant.
+func (rate *meanRate) shift(change float64) {
+	if math.Abs(change) < maxWork {
+		rate.mean += change
+	}
+}
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -57,6 +57,7 @@
 	latency           average      // seconds
 	firstEventLatency atomic.Pointer[timedLatency]
 	queueWait         atomic.Pointer[timedLatency] // expected of streams that the engine heads
+	headLoad          atomic.Pointer[timedHeadLoad]
 	awaited           awaitedStreams
 	failureRate       average // share of responses that are failures
 	load              atomic.Pointer[timedLoad]
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -153,7 +153,11 @@
 				continue // only an engine that holds the first layer is a head
 			}
 			if wait, observed, ok := node.LatestQueueWait(now); ok {
-				waits = append(waits, dragonflyhatch.QueueWait{Address: node.Address, Wait: wait, Age: now.Sub(observed)})
+				entry := dragonflyhatch.QueueWait{Address: node.Address, Wait: wait, Age: now.Sub(observed)}
+				if load := node.headLoad.Load(); load != nil && load.at.Equal(observed) {
+					entry.Running, entry.Waiting = load.running, load.waiting
+				}
+				waits = append(waits, entry)
 			}
 		}
 	}
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -236,7 +236,7 @@
 	for _, wait := range gossip.QueueWaits {
 		message.QueueWaits = append(message.QueueWaits, &QueueWait{
 			Address: wait.Address, WaitMs: uint32(wait.Wait.Milliseconds()), AgeMs: uint32(wait.Age.Milliseconds()),
-			Running: uint32(wait.Running), Waiting: uint32(wait.Waiting), Capacity: uint32(wait.Capacity),
+			Running: uint32(wait.Running), Waiting: uint32(wait.Waiting),
 		})
 	}
 	for _, limit := range gossip.ReplicaLimits {
@@ -279,7 +279,7 @@
 	for _, wait := range message.GetQueueWaits() {
 		gossip.QueueWaits = append(gossip.QueueWaits, dragonflyhatch.QueueWait{
 			Address: wait.GetAddress(), Wait: time.Duration(wait.GetWaitMs()) * time.Millisecond, Age: time.Duration(wait.GetAgeMs()) * time.Millisecond,
-			Running: int(wait.GetRunning()), Waiting: int(wait.GetWaiting()), Capacity: int(wait.GetCapacity()),
+			Running: int(wait.GetRunning()), Waiting: int(wait.GetWaiting()),
 		})
 	}
 	for _, limit := range message.GetReplicaLimits() {
--- a/hatchroute/table.go
+++ b/hatchroute/table.go
@@ -15,6 +15,7 @@
 	*dragonflyhatch.Routing
 	byHost map[string][]*dragonflyhatch.Route // longest prefix first
 	byKey  map[string]*dragonflyhatch.Organisation
+	ranks  map[string][]requestPriority // by service, the most urgent first
 }
 
 // NewTable returns the Table of a routing configuration.
@@ -23,6 +24,7 @@
 		Routing: routing,
 		byHost:  make(map[string][]*dragonflyhatch.Route),
 		byKey:   make(map[string]*dragonflyhatch.Organisation),
+		ranks:   rankServices(routing),
 	}
 	for i := range routing.Routes {
 		route := &routing.Routes[i]
