Admission by rank learns the capacity of full heads and knows organisations better

A head with waiting streams is full at what it runs; the demand of organisations is averaged over 8 s; a rank that fits as a whole refuses nobody; the wait at a head counts against the shortest target, so that a longer target does not bring a less urgent request first.

--- a/hatchforward/ranked.go
+++ b/hatchforward/ranked.go
@@ -64,10 +64,10 @@
 	}
 	room := hatchlimit.Room{RunTime: forwarder.meanRunTime(service), Daemons: forwarder.fleet.Daemons()}
 	for _, load := range view.HeadLoads(now, service) {
-		room.Add(hatchlimit.HeadLoad{Running: load.Running, Waiting: load.Waiting, Age: load.Age})
+		room.Add(hatchlimit.HeadLoad{Slots: load.Slots, Running: load.Running, Waiting: load.Waiting, Age: load.Age})
 	}
-	if room.Heads > 0 {
-		room.Capacity = float64(admission.capacity)
+	if admission.capacity > 0 {
+		room.Capacity = min(room.Capacity, float64(admission.capacity))
 	}
 	return room
 }
--- a/hatchlimit/demand.go
+++ b/hatchlimit/demand.go
@@ -22,9 +22,12 @@
 	// daemon's own demand. It removes what lost messages and lost daemons have left in
 	// the mean.
 	demandLeak = 0.1
+	// organisationWindow is the time constant of the demand of an organisation. A daemon has
+	// few requests of each, so that a shorter one would take a single request for a burst.
+	organisationWindow = 8 * time.Second
 	// maxOrganisations bounds the organisations whose demand is kept and sent. Others
 	// ask for less than these, so that their share is known well enough.
-	maxOrganisations = 16
+	maxOrganisations = 24
 	// negligibleWork is the work, in tokens a second, below which an organisation is
 	// forgotten.
 	negligibleWork = 1.0
@@ -32,15 +35,16 @@
 	maxWork = 1e9
 )
 
-// decayingRate is a rate that follows its events with the time constant demandWindow.
+// decayingRate is a rate that follows its events with the time constant window.
 type decayingRate struct {
-	value float64 // per second
-	at    time.Time
+	window time.Duration
+	value  float64 // per second
+	at     time.Time
 }
 
 func (rate *decayingRate) decay(now time.Time) float64 {
 	if elapsed := now.Sub(rate.at); elapsed > 0 {
-		rate.value *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+		rate.value *= math.Exp(-elapsed.Seconds() / rate.window.Seconds())
 		rate.at = now
 	}
 	return rate.value
@@ -48,7 +52,7 @@
 
 func (rate *decayingRate) add(now time.Time, amount float64) {
 	rate.decay(now)
-	rate.value += amount / demandWindow.Seconds()
+	rate.value += amount / rate.window.Seconds()
 }
 
 // Demand tracks the work that the callers of one service ask for: at this daemon, and on
@@ -70,6 +74,10 @@
 	mean  float64
 }
 
+func newMeanRate(window time.Duration) *meanRate {
+	return &meanRate{own: decayingRate{window: window}}
+}
+
 // update adds a part of the change of the own rate to the mean, and moves the mean towards
 // the own rate.
 func (rate *meanRate) update(now time.Time, part, leak float64) {
@@ -84,7 +92,7 @@
 func NewDemand(ranks int) *Demand {
 	demand := &Demand{organisations: make(map[string]*meanRate)}
 	for range ranks {
-		demand.ranks = append(demand.ranks, new(meanRate))
+		demand.ranks = append(demand.ranks, newMeanRate(demandWindow))
 	}
 	return demand
 }
@@ -95,12 +103,16 @@
 	if organisation == "" {
 		return
 	}
-	rate, ok := demand.organisations[organisation]
+	demand.organisation(organisation).own.add(now, work)
+}
+
+func (demand *Demand) organisation(name string) *meanRate {
+	rate, ok := demand.organisations[name]
 	if !ok {
-		rate = new(meanRate)
-		demand.organisations[organisation] = rate
+		rate = newMeanRate(organisationWindow)
+		demand.organisations[name] = rate
 	}
-	rate.own.add(now, work)
+	return rate
 }
 
 // Update brings the means up to the time.
@@ -203,11 +215,7 @@
 		demand.ranks[rank].shift(change(demand.ranks[rank].mean, value))
 	}
 	for _, organisation := range other.Organisations[:min(len(other.Organisations), maxOrganisations)] {
-		rate, ok := demand.organisations[organisation.Name]
-		if !ok {
-			rate = new(meanRate)
-			demand.organisations[organisation.Name] = rate
-		}
+		rate := demand.organisation(organisation.Name)
 		rate.shift(change(rate.mean, organisation.Work))
 	}
 }
--- a/hatchlimit/overload_test.go
+++ b/hatchlimit/overload_test.go
@@ -274,8 +274,7 @@
 	room := hatchlimit.Room{RunTime: meanRun, Daemons: len(model.daemons)}
 	for index, report := range daemon.reports {
 		if age := model.now.Sub(report.at); age <= reportMaxAge && model.places(index) > 0 {
-			room.Capacity += headPlaces
-			room.Add(hatchlimit.HeadLoad{Running: report.running, Waiting: report.waiting, Age: age})
+			room.Add(hatchlimit.HeadLoad{Slots: headPlaces, Running: report.running, Waiting: report.waiting, Age: age})
 		}
 	}
 	return room
--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -38,6 +38,9 @@
 	freeFrom  = 0.28
 	// returnTolerance is the part of the time by which a returning caller may be late.
 	returnTolerance = 0.03
+	// queueShare is the share of waiting among the running streams up to which a head is not
+	// full: prompts wait for the next pass of the engine in any case.
+	queueShare = 0.1
 	// reportDelay is the time in which most daemons have learned of a report.
 	reportDelay = 600 * time.Millisecond
 	// minShareFactor keeps a large organisation from being admitted less than half as often
@@ -73,8 +76,8 @@
 
 // HeadLoad is what a head reported, and how long ago.
 type HeadLoad struct {
-	Running, Waiting int // streams
-	Age              time.Duration
+	Slots, Running, Waiting int // streams
+	Age                     time.Duration
 }
 
 // Add adds the load of a head. Heads report with the first event of each stream: one that
@@ -84,6 +87,13 @@
 	quiet := max(load.Age-reportDelay, 0)
 	left := math.Exp(-quiet.Seconds() / max(room.RunTime.Seconds(), reportDelay.Seconds()))
 	room.Heads++
+	places := float64(load.Slots)
+	if float64(load.Waiting) > queueShare*float64(load.Running) {
+		// The pipeline is full, whatever limits it: the slots of its head, the KV memory of
+		// a stage or the speed of an engine.
+		places = min(places, float64(load.Running)/fullShare)
+	}
+	room.Capacity += left*places + (1-left)*float64(load.Slots)
 	room.Running += left * float64(load.Running)
 	room.Waiting += left * float64(load.Waiting)
 	room.Oldest = max(room.Oldest, load.Age)
@@ -133,11 +143,12 @@
 // that ask for no more than their fair share, and short ones before long ones. It is a
 // state machine without a clock. It is not safe for concurrent use.
 type Admission struct {
-	demand     *Demand
-	meanWork   float64   // of a request, in tokens
-	finished   float64   // work a second at the engines for a daemon, smoothed
-	smoothFits float64   // share of the offered work that fits, smoothed; 0 before the first observation
-	observedAt time.Time // of the latest observation
+	demand         *Demand
+	meanWork       float64       // of a request, in tokens
+	shortestTarget time.Duration // of the requests so far
+	finished       float64       // work a second at the engines for a daemon, smoothed
+	smoothFits     float64       // share of the offered work that fits, smoothed; 0 before the first observation
+	observedAt     time.Time     // of the latest observation
 }
 
 // NewAdmission returns the admission of a service with the given number of ranks.
@@ -159,6 +170,9 @@
 // to 1.
 func (admission *Admission) Decide(now time.Time, request Request, room Room, draw func() float64) Verdict {
 	admission.recordWork(request.Work)
+	if admission.shortestTarget == 0 || request.Target > 0 && request.Target < admission.shortestTarget {
+		admission.shortestTarget = request.Target
+	}
 	admission.demand.Update(now)
 	returned := HasReturned(request.Left, request.Longest)
 	if !returned { // one that has returned was counted when it was new
@@ -241,11 +255,11 @@
 	fills := fillRanks(ranks, verdict.Fits, rankFloor)
 	rank := min(max(request.Rank, 0), len(ranks)-1)
 	verdict.Rule, verdict.RankFits = RuleRank, fills[rank]
-	if request.Wait < request.Target && admission.isServed(ranks, rank) {
+	if request.Wait < admission.shortestTarget && admission.isServed(ranks, rank) {
 		verdict.RankFits = 1
 	}
 	if returned && admission.isKept(request) {
-		verdict.Admitted, verdict.Rule = request.Wait < request.Target, RuleKept
+		verdict.Admitted, verdict.Rule = true, RuleKept
 		return
 	}
 	shares := admission.shares(verdict.Demand)
@@ -255,7 +269,7 @@
 	}
 	verdict.FairShare = fairLevel(shares, verdict.RankFits)
 	probability := verdict.RankFits
-	if verdict.Share > 0 && request.Organisation != "" {
+	if verdict.RankFits < 1 && verdict.Share > 0 && request.Organisation != "" {
 		fair := verdict.FairShare / verdict.Share
 		if probability = min(max(fair, minShareFactor*verdict.RankFits), 1); verdict.Rule == RuleRank && fair < verdict.RankFits {
 			verdict.Rule = RuleShare
@@ -265,7 +279,8 @@
 		probability = admission.favourShort(probability, request.Work)
 	}
 	if probability < 1 {
-		probability *= 1 - RefusalProbability(request.Wait, request.Target, returned)
+		// A longer target must not bring a less urgent request before a more urgent one.
+		probability *= 1 - RefusalProbability(request.Wait, admission.shortestTarget, returned)
 	}
 	verdict.Admitted = draw() < probability
 }
@@ -325,7 +340,7 @@
 // promise returns when a refused caller should return, and whether a place is kept for it.
 func (admission *Admission) promise(verdict Verdict, request Request, returned bool, draw func() float64) (bool, time.Duration) {
 	refused := 1 - verdict.Fits
-	kept := !returned && verdict.Rule != RuleExcess && draw()*refused < keptShare*verdict.Fits
+	kept := !returned && verdict.Rule != RuleExcess && draw()*refused < keptShare*verdict.RankFits
 	from, to := freeFrom, maxReturnShare
 	if kept {
 		from, to = minReturnShare, keptUntil
--- a/hatchpath/heads.go
+++ b/hatchpath/heads.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"dragonflyhatch"
 )
 
 // headLoadRetention is how long the load of a head is known. Heads report with the first
@@ -33,20 +31,27 @@
 	}
 }
 
+// HeadLoad is what an engine reported as the head of a pipeline, and how long ago.
+type HeadLoad struct {
+	Address                 string
+	Slots, Running, Waiting int // streams
+	Age                     time.Duration
+}
+
 // HeadLoads returns what the heads of the service's pipelines have reported lately.
-func (view *View) HeadLoads(now time.Time, service string) []dragonflyhatch.QueueWait {
+func (view *View) HeadLoads(now time.Time, service string) []HeadLoad {
 	set := view.engines[service]
 	if set == nil {
 		return nil
 	}
-	var loads []dragonflyhatch.QueueWait
+	var loads []HeadLoad
 	for _, node := range set.all {
 		load := node.headLoad.Load()
 		if node.Held.First > 0 || load == nil || now.Sub(load.at) > headLoadRetention || !node.isUsable(now) {
 			continue
 		}
-		loads = append(loads, dragonflyhatch.QueueWait{
-			Address: node.Address, Running: load.running, Waiting: load.waiting, Age: max(now.Sub(load.at), 0),
+		loads = append(loads, HeadLoad{
+			Address: node.Address, Slots: cmp.Or(node.Slots, set.model.Slots), Running: load.running, Waiting: load.waiting, Age: max(now.Sub(load.at), 0),
 		})
 	}
 	return loads
