--- a/hatchforward/ranked.go
+++ b/hatchforward/ranked.go
@@ -64,9 +64,15 @@
 	}
 	room := hatchlimit.Room{RunTime: forwarder.meanRunTime(service), Daemons: forwarder.fleet.Daemons()}
 	for _, load := range view.HeadLoads(now, service) {
+		if !load.Reported {
+			room.AddIdle(load.Slots)
+			continue
+		}
 		room.Add(hatchlimit.HeadLoad{Slots: load.Slots, Running: load.Running, Waiting: load.Waiting, Age: load.Age})
 	}
-	if admission.capacity > 0 {
+	if room.Heads == 0 {
+		room.Capacity = 0
+	} else if admission.capacity > 0 {
 		room.Capacity = min(room.Capacity, float64(admission.capacity))
 	}
 	return room
--- a/hatchlimit/demand.go
+++ b/hatchlimit/demand.go
@@ -28,6 +28,8 @@
 	// maxOrganisations bounds the organisations whose demand is kept and sent. Others
 	// ask for less than these, so that their share is known well enough.
 	maxOrganisations = 24
+	// usualOrganisations is the number that is sent while there is room for all.
+	usualOrganisations = 8
 	// negligibleWork is the work, in tokens a second, below which an organisation is
 	// forgotten.
 	negligibleWork = 1.0
@@ -166,12 +168,12 @@
 	return organisations[:min(len(organisations), maxOrganisations)]
 }
 
-// Digest returns the averages for a peer, with the organisations if they are wanted.
-func (demand *Demand) Digest(now time.Time, organisations bool) dragonflyhatch.ServiceDemand {
+// Digest returns the averages for a peer, with more organisations while room is short.
+func (demand *Demand) Digest(now time.Time, short bool) dragonflyhatch.ServiceDemand {
 	demand.Update(now)
-	digest := dragonflyhatch.ServiceDemand{Ranks: demand.means()}
-	if organisations {
-		digest.Organisations = demand.Organisations()
+	digest := dragonflyhatch.ServiceDemand{Ranks: demand.means(), Organisations: demand.Organisations()}
+	if !short {
+		digest.Organisations = digest.Organisations[:min(len(digest.Organisations), usualOrganisations)]
 	}
 	return digest
 }
@@ -180,6 +182,22 @@
 // adopts the result, which is sent to it as the answer.
 func (demand *Demand) Merge(now time.Time, peer dragonflyhatch.ServiceDemand) {
 	demand.shift(now, peer, func(mean, work float64) float64 { return (work - mean) / 2 })
+	demand.mergeUnlisted(peer.Organisations)
+}
+
+// mergeUnlisted takes the mean for the organisations that a peer has not listed: their work
+// there is at most that of the last one listed. Otherwise a single request at this daemon
+// would look like a large share of the fleet's work.
+func (demand *Demand) mergeUnlisted(listed []dragonflyhatch.OrganisationDemand) {
+	if len(listed) == 0 {
+		return
+	}
+	limit := max(listed[len(listed)-1].Work, 0)
+	for name, rate := range demand.organisations {
+		if rate.mean > limit && !slices.ContainsFunc(listed, func(each dragonflyhatch.OrganisationDemand) bool { return each.Name == name }) {
+			rate.mean = (rate.mean + limit) / 2
+		}
+	}
 }
 
 // Adopt applies the answer of a peer that has merged the digest sent to it: both then have
@@ -203,6 +221,7 @@
 		}
 	}
 	demand.shift(now, change, func(_, difference float64) float64 { return difference })
+	demand.mergeUnlisted(answer.Organisations)
 }
 
 // shift adds to each average what the function returns for it and the value of the other.
@@ -214,7 +233,8 @@
 	for rank, value := range other.Ranks {
 		demand.ranks[rank].shift(change(demand.ranks[rank].mean, value))
 	}
-	for _, organisation := range other.Organisations[:min(len(other.Organisations), maxOrganisations)] {
+	listed := other.Organisations[:min(len(other.Organisations), maxOrganisations)]
+	for _, organisation := range listed {
 		rate := demand.organisation(organisation.Name)
 		rate.shift(change(rate.mean, organisation.Work))
 	}
--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -99,6 +99,12 @@
 	room.Oldest = max(room.Oldest, load.Age)
 }
 
+// AddIdle adds a head that has not reported lately. It has no streams: whoever starts one
+// there tells of it.
+func (room *Room) AddIdle(slots int) {
+	room.Capacity += float64(slots)
+}
+
 // Request describes a new stream to an admission.
 type Request struct {
 	Rank         int // from 0, the most urgent
--- a/hatchpath/heads.go
+++ b/hatchpath/heads.go
@@ -36,9 +36,11 @@
 	Address                 string
 	Slots, Running, Waiting int // streams
 	Age                     time.Duration
+	Reported                bool // otherwise it has no streams, or nobody has told
 }
 
-// HeadLoads returns what the heads of the service's pipelines have reported lately.
+// HeadLoads returns the heads of the service's pipelines with what they have reported
+// lately.
 func (view *View) HeadLoads(now time.Time, service string) []HeadLoad {
 	set := view.engines[service]
 	if set == nil {
@@ -47,12 +49,14 @@
 	var loads []HeadLoad
 	for _, node := range set.all {
 		load := node.headLoad.Load()
-		if node.Held.First > 0 || load == nil || now.Sub(load.at) > headLoadRetention || !node.isUsable(now) {
+		if node.Held.First > 0 || !node.isUsable(now) {
 			continue
 		}
-		loads = append(loads, HeadLoad{
-			Address: node.Address, Slots: cmp.Or(node.Slots, set.model.Slots), Running: load.running, Waiting: load.waiting, Age: max(now.Sub(load.at), 0),
-		})
+		head := HeadLoad{Address: node.Address, Slots: cmp.Or(node.Slots, set.model.Slots)}
+		if load != nil && now.Sub(load.at) <= headLoadRetention {
+			head.Running, head.Waiting, head.Age, head.Reported = load.running, load.waiting, max(now.Sub(load.at), 0), true
+		}
+		loads = append(loads, head)
 	}
 	return loads
 }
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -76,6 +76,11 @@
 	// firstEventWeight is the weight, compared to KV memory utilization, of the mean
 	// time in seconds to the first event of recent streams of a pipeline's head.
 	firstEventWeight = 1
+	// headWaitCost is the cost of each second that a stream is expected to wait at the head,
+	// in the unit of siteCrossingCost. A stream that waits is late after half a second,
+	// however fast its engines are: it should rather start at another copy of the first
+	// layers.
+	headWaitCost = 20
 	// An engine's cost is increased by a random share, so that hundreds of daemons,
 	// each of which knows an engine's load only from its own requests, do not all
 	// start with the same one of many equal engines. The range of that share grows by
@@ -244,7 +249,11 @@
 			if at == 0 && !query.allowsHead(now, spans[i].node) {
 				continue
 			}
-			set.extend(steps, boundary, at, &spans[i])
+			startCost := 0.0
+			if at == 0 {
+				startCost = headWaitCost * spans[i].node.ExpectedWait(now).Seconds()
+			}
+			set.extend(steps, boundary, at, &spans[i], startCost)
 		}
 	}
 	return traceCover(steps, layers)
@@ -269,12 +278,13 @@
 }
 
 // extend considers the span as the stage that begins at the boundary, and updates
-// the steps at which that stage could end if this makes them cheaper.
-func (set *engineSet) extend(steps []step, boundary []bool, at int, span *span) {
+// the steps at which that stage could end if this makes them cheaper. The start cost is
+// that of the wait at the stage.
+func (set *engineSet) extend(steps []step, boundary []bool, at int, span *span, startCost float64) {
 	if at < span.First || at >= span.End || isOnPath(steps, at, span.node) {
 		return
 	}
-	baseCost := steps[at].cost + stageCost
+	baseCost := steps[at].cost + stageCost + startCost
 	if previous := steps[at].node; previous != nil && previous.Site != span.node.Site {
 		baseCost += siteCrossingCost
 	}
