--- a/hatchforward/ranked.go
+++ b/hatchforward/ranked.go
@@ -73,7 +73,7 @@
 	if room.Heads == 0 {
 		room.Capacity = 0
 	} else if admission.capacity > 0 {
-		room.Capacity = min(room.Capacity, float64(admission.capacity))
+		room.Capacity = min(room.Capacity, max(float64(admission.capacity), room.Running))
 	}
 	return room
 }
--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -19,7 +19,7 @@
 	// excessLevel is the work of an organisation, as a multiple of its fair share of all
 	// that is admitted, beyond which its requests count as the least urgent. Large
 	// organisations stay below it; one whose demand jumps delays itself first.
-	excessLevel = 8
+	excessLevel = 12
 	// minRelativeWork and maxRelativeWork bound the effect of the work that a request needs,
 	// relative to the mean. Short requests are more callers for the same work.
 	minRelativeWork = 0.5
@@ -41,6 +41,9 @@
 	// queueShare is the share of waiting among the running streams up to which a head is not
 	// full: prompts wait for the next pass of the engine in any case.
 	queueShare = 0.1
+	// growth is the factor by which the streams of a head without a queue may grow, whatever
+	// its slots are: some engines run more than they state.
+	growth = 1.3
 	// reportDelay is the time in which most daemons have learned of a report.
 	reportDelay = 600 * time.Millisecond
 	// minShareFactor keeps a large organisation from being admitted less than half as often
@@ -92,6 +95,8 @@
 		// The pipeline is full, whatever limits it: the slots of its head, the KV memory of
 		// a stage or the speed of an engine.
 		places = min(places, float64(load.Running)/fullShare)
+	} else {
+		places = max(places, growth*float64(load.Running))
 	}
 	room.Capacity += left*places + (1-left)*float64(load.Slots)
 	room.Running += left * float64(load.Running)
