The choice of a pipeline avoids engines whose KV memory is full

Cause: a daemon estimated the KV memory in use from its own requests times the number of daemons, and took the load of the head as that of all stages. Later stages with little memory filled up first and preempted their newest streams.

Change: Health keeps the latest reported share of each process (4 s) and the net tokens that this daemon has sent since. While a report above 60% is recent, the cost of an engine uses the larger of the estimate and the report; for 2 s after its report, an engine that the stream's tokens would fill above 95% costs a thousand times as much, so that it is used only if no site or version has a pipeline without it. Without such a report the choice draws the same random numbers and is the same as before. The tokens are those of the prompt and of the expected answer: the mean of the route's complete streams, at most what the caller allows. Metrics memory.streamsKeptAway and memory.streamsAtFull, and a log line at most every 5 s.

Daemons with equal reports must not all choose the emptiest engine, so the cost gets a random part by which equal engines are chosen in proportion to the memory that they are about to have free. It replaces the jitter of large fleets.

--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -20,6 +20,9 @@
 	heldBack    metrics.Counter
 	trials      metrics.Counter
 	slotsDenied metrics.Counter
+
+	fullEnginesAvoided metrics.Counter
+	fullEnginesUsed    metrics.Counter
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -41,6 +44,9 @@
 		heldBack:    metrics.GetOrRegisterCounter("quarantine.refused", registry),
 		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
 		slotsDenied: metrics.GetOrRegisterCounter("limits.slotsDenied", registry),
+
+		fullEnginesAvoided: metrics.GetOrRegisterCounter("memory.streamsKeptAway", registry),
+		fullEnginesUsed:    metrics.GetOrRegisterCounter("memory.streamsAtFull", registry),
 	}
 }
 
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -31,6 +31,9 @@
 	bySite   map[string][]*Node
 	all      []*Node
 	versions []int // of the model's weights, newest first
+	healths  *HealthSet
+
+	meanCapacity float64 // mean kvCapacity of the engines
 }
 
 // NewView returns a View of the replicas, without those whose address another one has
@@ -58,7 +61,7 @@
 	}
 	for name, nodes := range view.byService {
 		if model := services[name].Model; model != nil {
-			view.engines[name] = newEngineSet(model, nodes)
+			view.engines[name] = newEngineSet(model, nodes, healths)
 		}
 	}
 	return view
@@ -84,8 +87,8 @@
 	})
 }
 
-func newEngineSet(model *dragonflyhatch.EngineModel, nodes []*Node) *engineSet {
-	set := &engineSet{model: model, bySite: make(map[string][]*Node)}
+func newEngineSet(model *dragonflyhatch.EngineModel, nodes []*Node, healths *HealthSet) *engineSet {
+	set := &engineSet{model: model, healths: healths, bySite: make(map[string][]*Node)}
 	for _, node := range nodes {
 		if node.Held.End == 0 {
 			continue
@@ -95,6 +98,7 @@
 		}
 		set.bySite[node.Site] = append(set.bySite[node.Site], node)
 		set.all = append(set.all, node)
+		set.meanCapacity += (set.kvCapacity(node) - set.meanCapacity) / float64(len(set.all))
 		if !slices.Contains(set.versions, node.Held.Version) {
 			set.versions = append(set.versions, node.Held.Version)
 		}
