The KV capacity of an engine is computed once for each view

Cause: the choice of a pipeline looked up the accelerator of every engine twice.

Change: NewView computes the capacity, and the choice reads it from the node.

--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -245,7 +245,7 @@
 		}
 		candidate := span{node: node, LayerRange: node.Held.LayerRange}
 		candidate.End = min(candidate.End, layers)
-		kvCapacity := set.kvCapacity(node)
+		kvCapacity := node.kvCapacity
 		utilization := nodeUtilization(node, query.Daemons, kvCapacity)
 		factor := 1.0
 		if reportsRecent {
@@ -369,12 +369,6 @@
 	return (accelerator.StepFactor + prefillWeight*accelerator.PrefillFactor) / float64(set.model.Layers)
 }
 
-// kvCapacity returns how many tokens fit in the engine's KV memory with the layers
-// that it holds.
-func (set *engineSet) kvCapacity(node *Node) float64 {
-	return KVCapacity(set.model, set.model.Accelerators[node.Accelerator], node.Held.LayerRange)
-}
-
 // nodeUtilization returns the share of the engine's KV memory that is in use. It is
 // estimated from the tokens of this daemon's requests, times the number of daemons.
 func nodeUtilization(node *Node, daemons int, kvCapacity float64) float64 {
@@ -403,7 +397,7 @@
 func (set *engineSet) utilization(now time.Time, cover *cover, query *Query) float64 {
 	highest, reported, minCapacity := 0.0, 0.0, math.Inf(1)
 	for _, stage := range cover.stages {
-		kvCapacity := set.kvCapacity(stage.node)
+		kvCapacity := stage.node.kvCapacity
 		highest = max(highest, nodeUtilization(stage.node, query.Daemons, kvCapacity))
 		reported = max(reported, stage.node.reportedUtilization(now, kvCapacity))
 		if kvCapacity > 0 {
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -13,6 +13,10 @@
 type Node struct {
 	dragonflyhatch.Replica
 	*Health
+
+	// kvCapacity is how many tokens fit in the engine's KV memory with the layers that it
+	// holds. It is computed once for each view, as each choice uses it for all engines.
+	kvCapacity float64
 }
 
 // View is an immutable index of the registered replicas.
@@ -33,7 +37,7 @@
 	versions []int // of the model's weights, newest first
 	healths  *HealthSet
 
-	meanCapacity float64 // mean kvCapacity of the engines
+	meanCapacity float64 // mean of the engines
 }
 
 // NewView returns a View of the replicas, without those whose address another one has
@@ -98,7 +102,8 @@
 		}
 		set.bySite[node.Site] = append(set.bySite[node.Site], node)
 		set.all = append(set.all, node)
-		set.meanCapacity += (set.kvCapacity(node) - set.meanCapacity) / float64(len(set.all))
+		node.kvCapacity = KVCapacity(model, model.Accelerators[node.Accelerator], node.Held.LayerRange)
+		set.meanCapacity += (node.kvCapacity - set.meanCapacity) / float64(len(set.all))
 		if !slices.Contains(set.versions, node.Held.Version) {
 			set.versions = append(set.versions, node.Held.Version)
 		}
