Fewer probes: stages with signs of life are skipped, later checks, head first

Change: a stream is checked 58 ms beyond its mean interval, before the first event after three times the head's recent mean (150 to 400 ms). A stage is probed once it has shown no sign of life for 58 ms: neither progress of any stream through it nor an answer to a probe. The head comes first; the others follow if it is not dead and the stream is still silent.

--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -143,6 +143,7 @@
 		forwarder.metricSet = newMetricSet(nil)
 	}
 	forwarder.prober = newProber(fleet)
+	forwarder.prober.dials = forwarder.metricSet.probes
 	return forwarder
 }
 
--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -20,6 +20,8 @@
 	heldBack    metrics.Counter
 	trials      metrics.Counter
 	slotsDenied metrics.Counter
+	attempts    metrics.Counter // connections opened for attempts
+	probes      metrics.Counter // connections opened by probes
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -41,6 +43,8 @@
 		heldBack:    metrics.GetOrRegisterCounter("quarantine.refused", registry),
 		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
 		slotsDenied: metrics.GetOrRegisterCounter("limits.slotsDenied", registry),
+		attempts:    metrics.GetOrRegisterCounter("connections.attempt", registry),
+		probes:      metrics.GetOrRegisterCounter("connections.probe", registry),
 	}
 }
 
--- a/hatchforward/prober.go
+++ b/hatchforward/prober.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
 	"dragonflyhatch/hatchpath"
@@ -22,9 +24,9 @@
 	// secondDialDelay is the delay before a probe dials a second connection,
 	// because the packet of the first may have been lost.
 	secondDialDelay = 15 * time.Millisecond
-	// aliveValidity is how long a replica counts as alive after it was last reached.
-	// It is longer than the usual interval between events of a stream and shorter
-	// than minCheckDelay.
+	// aliveValidity is how long a replica counts as alive after it was last reached,
+	// when a failed attempt is diagnosed. It is longer than the usual interval between
+	// events of a stream.
 	aliveValidity = 40 * time.Millisecond
 	// probeGrace is added to the timeout of a probe, for answers that have arrived
 	// but were not read yet.
@@ -48,6 +50,7 @@
 type prober struct {
 	fleet Fleet
 	dial  func(ctx context.Context, address string) probeOutcome
+	dials metrics.Counter // connections opened by probes
 
 	mu         sync.Mutex
 	rechecking map[*hatchpath.Health]bool // of the unreachable replicas, which are probed regularly
@@ -58,6 +61,7 @@
 	return &prober{
 		fleet:      fleet,
 		dial:       dialOnce,
+		dials:      metrics.NewCounter(),
 		rechecking: make(map[*hatchpath.Health]bool),
 		watches:    make(map[*watch]bool),
 	}
@@ -120,7 +124,10 @@
 func (prober *prober) probe(ctx context.Context, node *hatchpath.Node) *probe {
 	ctx, cancel := context.WithCancel(ctx)
 	probe := &probe{dials: make(chan probeOutcome, 2), cancel: cancel}
-	probe.outcome = probe.await(func() probeOutcome { return prober.dial(ctx, node.Address) })
+	probe.outcome = probe.await(func() probeOutcome {
+		prober.dials.Inc(1)
+		return prober.dial(ctx, node.Address)
+	})
 	return probe
 }
 
@@ -199,6 +206,44 @@
 			probed = append(probed, node)
 		}
 	}
+	return append(culprits, prober.probeAll(ctx, probed)...)
+}
+
+// checkSilent returns the addresses of the nodes of a silent stream's pipeline that are
+// dead, and the time after which another one may be due for a probe. It probes those that
+// hatchpath.DueProbes returns: the head first, and the others only if the head is not dead
+// and the stream is still silent then.
+func (prober *prober) checkSilent(ctx context.Context, nodes []*hatchpath.Node, isSilent func() bool) (culprits []string, next time.Duration) {
+	now := time.Now()
+	for _, node := range nodes {
+		if node.DownFor(now) > 0 { // already found to be unreachable
+			culprits = append(culprits, node.Address)
+		}
+	}
+	if len(culprits) > 0 {
+		return culprits, 0
+	}
+	for _, part := range [][]*hatchpath.Node{nodes[:1], nodes[1:]} {
+		now := time.Now()
+		due, partNext := hatchpath.DueProbes(now, part)
+		if len(part) > 0 && (next == 0 || partNext < next) {
+			next = partNext
+		}
+		due = slices.DeleteFunc(due, func(node *hatchpath.Node) bool { return !node.TryStartProbe(now) })
+		if culprits = prober.probeAll(ctx, due); len(culprits) > 0 || !isSilent() {
+			return culprits, next
+		}
+	}
+	return nil, next
+}
+
+// probeAll probes the nodes at the same time and returns the addresses of those that are
+// dead.
+func (prober *prober) probeAll(ctx context.Context, probed []*hatchpath.Node) []string {
+	if len(probed) == 0 {
+		return nil
+	}
+	var culprits []string
 	probes := make([]*probe, len(probed))
 	var group conc.WaitGroup
 	for i, node := range probed {
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -394,8 +394,11 @@
 		failure.Detail = reason
 	}
 	stream.prepaid = prepaid
+	if len(culprits) == 0 { // the head first: if it is dead, the others are not probed
+		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes[:1], pipeline.Nodes[0])
+	}
 	if len(culprits) == 0 {
-		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes, pipeline.Nodes[0])
+		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes[1:], nil)
 	}
 	if len(culprits) == 0 {
 		culprits = []string{pipeline.Nodes[0].Address}
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -11,33 +11,12 @@
 )
 
 const (
-	// firstCheckDelay is the silence before the first event of a stream after which
-	// the replicas of its pipeline are checked. It is twice the usual time to a first
-	// event.
-	firstCheckDelay = 150 * time.Millisecond
-	// minCheckDelay is the minimum silence between two events after which the replicas
-	// are checked. Together with a check and a restart elsewhere it stays below the
-	// usual limit on pauses between events (Route.MaxPause), 200 ms.
-	minCheckDelay = 60 * time.Millisecond
 	// minUnreachableSilence is how long a stream must be silent to be moved off a
 	// replica that a probe or another request found unreachable. It is about the
 	// usual interval between events.
 	minUnreachableSilence = 25 * time.Millisecond
-	// checkIntervalFactor is the silence between two events after which the replicas
-	// are checked, as a multiple of the stream's mean interval between events. The
-	// result is limited by minCheckDelay and maxCheckDelay.
-	checkIntervalFactor = 2
-	// maxCheckDelay is the maximum silence between two events after which the replicas
-	// are checked.
-	maxCheckDelay = 300 * time.Millisecond
-	// intervalWeight is the weight of the newest interval between events in the
-	// moving average, and longIntervalWeight that of an interval longer than the
-	// average. The latter is greater, because the average must soon follow a stream
-	// that has become slow; otherwise the replicas are probed at each event.
-	intervalWeight     = 0.1
-	longIntervalWeight = 0.3
-	// repeatCheckDelay is the delay until the next check of a silent stream whose
-	// replicas are all alive.
+	// repeatCheckDelay is the longest delay until the next check of a silent stream whose
+	// replicas are all alive. Only the checks at which a replica is due open connections.
 	repeatCheckDelay = 60 * time.Millisecond
 	// reportRequestSilence is the silence after which the engines of the pipeline
 	// are asked for their slowdown. It is half of the usual limit on pauses.
@@ -47,6 +26,9 @@
 	maxSilence = 1200 * time.Millisecond
 	// minTimerDelay is the minimum delay of a check that is overdue.
 	minTimerDelay = time.Millisecond
+	// minRecheckDelay is the minimum delay between two checks of a silent stream. It
+	// gathers the stages that become due at about the same time.
+	minRecheckDelay = 5 * time.Millisecond
 	// queueWaitFactor limits the wait for a first event to a multiple of the head's
 	// mean time to a first event. A prompt that is queued there is processed sooner
 	// than if it were moved to another pipeline and started again.
@@ -63,12 +45,12 @@
 
 	mu           sync.Mutex
 	timer        *time.Timer
-	resumed      bool          // the caller had received a part of the stream before the attempt
-	dataReceived bool          // some of the response body was received
-	lastProgress time.Time     // time of the last event with data, or of the start
-	silentSince  time.Time     // when the wait for the next event began
-	meanInterval time.Duration // moving average of the interval between events
-	checkDelay   time.Duration // silence until the next check
+	resumed      bool      // the caller had received a part of the stream before the attempt
+	dataReceived bool      // some of the response body was received
+	lastProgress time.Time // time of the last event with data, or of the start
+	silentSince  time.Time // when the wait for the next event began
+	pace         hatchpath.Pace
+	checkDelay   time.Duration // silence until the first check
 	waiting      bool          // for the next event; false while events are written to the caller
 	writing      bool          // no read is in progress: events are being written to the caller, which may be slow
 	stopped      bool
@@ -85,7 +67,7 @@
 	now := time.Now()
 	watch := &watch{
 		stream: stream, pipeline: pipeline, cancel: cancel, attempts: stream.attempts.Clone(), terminations: stream.terminations,
-		lastProgress: now, silentSince: now, checkDelay: firstCheckDelay, resumed: stream.headersSent,
+		lastProgress: now, silentSince: now, checkDelay: pipeline.Nodes[0].FirstCheckDelay(now), resumed: stream.headersSent,
 	}
 	watch.firstEvent = pipeline.Nodes[0].AwaitFirstEvent(now)
 	watch.mu.Lock() // the timer may fire before watch.timer is set
@@ -126,7 +108,7 @@
 }
 
 // recordRead stops the check timer after a read. If the read completed an event with
-// data, it updates the mean interval and the delay of the next check.
+// data, it updates the pace and the delay of the next check.
 func (watch *watch) recordRead(progress bool) {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
@@ -146,14 +128,10 @@
 		watch.firstEvent()
 		watch.pipeline.Nodes[0].RecordFirstEvent(now, now.Sub(watch.lastProgress))
 	} else {
-		interval, weight := now.Sub(watch.lastProgress), intervalWeight
-		if interval > watch.meanInterval {
-			weight = longIntervalWeight
-		}
-		watch.meanInterval += time.Duration(weight * float64(interval-watch.meanInterval))
+		watch.pace.Record(now.Sub(watch.lastProgress))
 	}
 	watch.lastProgress = now
-	watch.checkDelay = min(max(checkIntervalFactor*watch.meanInterval, minCheckDelay), maxCheckDelay)
+	watch.checkDelay = watch.pace.CheckDelay()
 }
 
 // recordStageProgress records progress of all stages of the pipeline.
@@ -193,7 +171,11 @@
 		return
 	}
 	watch.stream.forwarder.metricSet.stalls.Inc(1)
-	culprits := watch.stream.forwarder.prober.check(watch.stream.ctx, watch.pipeline.Nodes, nil)
+	culprits, next := watch.stream.forwarder.prober.checkSilent(watch.stream.ctx, watch.pipeline.Nodes, func() bool {
+		watch.mu.Lock()
+		defer watch.mu.Unlock()
+		return !watch.stopped && watch.lastProgress.Equal(lastProgress)
+	})
 	silent := time.Since(silentSince)
 	prepaid := len(culprits) == 0 && silent > silenceLimit && watch.prepareMove()
 	watch.mu.Lock()
@@ -208,7 +190,7 @@
 		watch.prepaid = true
 		watch.abandon("silent for "+silent.Round(time.Millisecond).String(), nil)
 	case !watch.writing:
-		watch.timer.Reset(repeatCheckDelay)
+		watch.timer.Reset(min(max(next, minRecheckDelay), repeatCheckDelay))
 		if silent > reportRequestSilence {
 			watch.stream.forwarder.requestReports(watch.pipeline.Nodes)
 		}
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -51,7 +51,7 @@
 	downSince         atomic.Int64 // 0 unless the replica is unreachable
 	terminated        atomic.Bool  // unreachable because its address refuses connections
 	nextProbe         atomic.Int64 // earliest time of the next probe
-	probeInterval     atomic.Int64 // nanoseconds; doubles with each probe until the replica makes progress
+	probeInterval     atomic.Int64 // nanoseconds; grows with each probe until the replica makes progress
 	slowdown          atomic.Pointer[timedSlowdown]
 	nextSlowdownQuery atomic.Int64 // earliest time of the next query of the slowdown
 	latency           average      // seconds
@@ -319,29 +319,39 @@
 }
 
 // RecordProgress records that the replica made progress on a request, so that there is
-// no reason to probe it soon. The interval between probes starts again at its minimum.
+// no reason to probe it soon. The pauses between probes start again: the next one may
+// follow as soon as the replica seems silent.
 func (health *Health) RecordProgress(now time.Time) {
 	health.lastSeen.Store(monotonicNanos(now))
 	health.probeInterval.Store(0)
+	health.nextProbe.Store(math.MinInt64)
 }
 
 const (
 	// minProbeInterval and maxProbeInterval bound the time between probes of a
-	// replica that answers them although its requests make no progress. Probes back
-	// off because each of them costs the replica some time.
-	minProbeInterval = 60 * time.Millisecond
-	maxProbeInterval = 2 * time.Second
+	// replica that answers them although its requests make no progress, and
+	// probeIntervalFactor is the growth of that time. Probes back off because each of
+	// them costs the replica some time: a preempted stream may be silent for a second
+	// although all of its stages are alive.
+	minProbeInterval    = 100 * time.Millisecond
+	maxProbeInterval    = 2 * time.Second
+	probeIntervalFactor = 3
 )
 
+// probeIsDue reports whether TryStartProbe may return true.
+func (health *Health) probeIsDue(now time.Time) bool {
+	return monotonicNanos(now) >= health.nextProbe.Load()
+}
+
 // TryStartProbe reports whether the replica may be probed now. If so, it reserves the
-// probe: only one of several concurrent calls returns true. The interval doubles with
+// probe: only one of several concurrent calls returns true. The interval grows with
 // each probe until the replica makes progress.
 func (health *Health) TryStartProbe(now time.Time) bool {
 	next := health.nextProbe.Load()
 	if monotonicNanos(now) < next {
 		return false
 	}
-	interval := min(max(2*time.Duration(health.probeInterval.Load()), minProbeInterval), maxProbeInterval)
+	interval := min(max(probeIntervalFactor*time.Duration(health.probeInterval.Load()), minProbeInterval), maxProbeInterval)
 	if !health.nextProbe.CompareAndSwap(next, monotonicNanos(now.Add(interval))) {
 		return false
 	}
