Plain safe requests reuse connections

Cause: each attempt opened a connection; the second customer charges for them.

Change: a plain safe request whose response has its Attempt-Id and was read to the end leaves its connection to the next one (at most 64, 4 to a replica, half of max_connections for all daemons together, 10 s or Keep-Alive less 0.5 s). Nothing may have arrived on it, the replica must be registered with the same process and not leaving, and the connection must not have carried the same id. A response with another id or none is never passed on. A request whose kept connection fails before its response is sent again on a new one in the same attempt, if the route's runs allow it: the second copy counts as a run, and what follows it cannot say "not run". A kept connection without a response for 160 ms has its replica probed. connections.attempt, .reuse, .probe.

Ruled out: net/http.Transport (repeats by rules of its own), a reading goroutine for each idle connection, sending again after failed writes only.

--- a/hatchforward/exchange.go
+++ b/hatchforward/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -41,7 +42,8 @@
 	body    []byte
 }
 
-// exchange is one request and its response on a separate connection.
+// exchange is one request and its response on a connection that no other exchange uses
+// at the same time.
 type exchange struct {
 	conn          net.Conn
 	source        headReader // what reader reads from
@@ -72,10 +74,15 @@
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
 
+// errNoResponse marks the failure of an exchange that ended before any byte of a response
+// was read.
+var errNoResponse = errors.New("no byte of a response")
+
 // openExchange opens a connection, sends the request and reads the status line and
 // headers of the response. A Failure of KindUpstreamUnavailable means that no byte
 // of the request was sent. The connection is closed when ctx is done.
-func openExchange(ctx context.Context, request outgoingRequest) (*exchange, error) {
+func (forwarder *Forwarder) openExchange(ctx context.Context, request outgoingRequest) (*exchange, error) {
+	forwarder.metricSet.attempts.Inc(1)
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", request.address)
 	if err != nil {
@@ -83,10 +90,19 @@
 			Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: "no connection to " + request.address, Cause: err,
 		}
 	}
+	return newExchange(ctx, conn, request)
+}
+
+// newExchange sends the request on the connection and reads the status line and headers of
+// the response. The connection is closed when ctx is done.
+func newExchange(ctx context.Context, conn net.Conn, request outgoingRequest) (*exchange, error) {
 	replicaExchange := &exchange{conn: conn, source: headReader{conn: conn}, reader: readerPool.Get().(*bufio.Reader)}
 	replicaExchange.reader.Reset(&replicaExchange.source)
 	replicaExchange.detachContext = context.AfterFunc(ctx, func() { conn.Close() })
 	if err := replicaExchange.send(request); err != nil {
+		if replicaExchange.source.read == 0 {
+			err = errors.Mark(err, errNoResponse)
+		}
 		replicaExchange.close()
 		return nil, upstreamLost(request.address, err)
 	}
@@ -142,10 +158,31 @@
 	return head.Bytes()
 }
 
+// isComplete reports whether the exchange has used all bytes of its connection, so that the
+// connection may carry another request.
+func (exchange *exchange) isComplete() bool {
+	response := exchange.response
+	return !response.Close && exchange.reader.Buffered() == 0 &&
+		(response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked"))
+}
+
+// detach returns the connection, which the end of the exchange does not close any more, or
+// nil if it is being closed.
+func (exchange *exchange) detach() net.Conn {
+	if !exchange.detachContext() {
+		return nil
+	}
+	conn := exchange.conn
+	exchange.conn = nil
+	return conn
+}
+
 // close closes the connection. The replica then cancels its work on the request.
 func (exchange *exchange) close() {
-	exchange.detachContext()
-	exchange.conn.Close()
+	if exchange.conn != nil {
+		exchange.detachContext()
+		exchange.conn.Close()
+	}
 	exchange.reader.Reset(nil)
 	readerPool.Put(exchange.reader)
 	exchange.reader = nil
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -64,6 +64,7 @@
 	logger       *slog.Logger
 	metricSet    *metricSet
 	prober       *prober
+	conns        *connKeeper
 	random       *rand.Rand
 	pipelineWait time.Duration
 	engines      dragonflyhatch.EngineControl // for slowdown reports; nil if none are requested
@@ -142,6 +143,8 @@
 	if forwarder.metricSet == nil {
 		forwarder.metricSet = newMetricSet(nil)
 	}
+	forwarder.conns = newConnKeeper(fleet)
+	context.AfterFunc(forwarder.stopped, forwarder.conns.closeAll)
 	forwarder.prober = newProber(fleet)
 	forwarder.prober.dials = forwarder.metricSet.probes
 	return forwarder
@@ -162,6 +165,7 @@
 	body           []byte
 	memory         reservation // of the request's and the responses' bodies
 	attempts       *hatchretry.Attempts
+	runs           runClaims // of a plain request
 	logger         *slog.Logger
 	ctx            context.Context // done when the caller disconnects or the deadline passes
 
--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -21,6 +21,7 @@
 	trials      metrics.Counter
 	slotsDenied metrics.Counter
 	attempts    metrics.Counter // connections opened for attempts
+	reuses      metrics.Counter // requests sent on kept connections
 	probes      metrics.Counter // connections opened by probes
 }
 
@@ -44,6 +45,7 @@
 		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
 		slotsDenied: metrics.GetOrRegisterCounter("limits.slotsDenied", registry),
 		attempts:    metrics.GetOrRegisterCounter("connections.attempt", registry),
+		reuses:      metrics.GetOrRegisterCounter("connections.reuse", registry),
 		probes:      metrics.GetOrRegisterCounter("connections.probe", registry),
 	}
 }
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -18,6 +18,8 @@
 // to a second replica.
 const hedgeDelayRatio = 0.6
 
+var errNoRunLeft = errors.New("the request may not run again")
+
 // plainResult is the result of one attempt at a plain request.
 type plainResult struct {
 	node            *hatchpath.Node
@@ -32,7 +34,15 @@
 	results := make(chan plainResult, resultCapacity)
 	running := 0
 	var tried []string
-	start := func() error {
+	start := func() (err error) {
+		if !call.runs.begin(call.attempts.RemainingRuns()) {
+			return errNoRunLeft
+		}
+		defer func() {
+			if err != nil {
+				call.runs.end(call.attempts.RemainingRuns())
+			}
+		}()
 		node, err := call.chooseReplica(tried...)
 		for err == nil && !call.takeSlot(node, call.isRepeat()) {
 			node, err = call.chooseReplica(tried...)
@@ -61,18 +71,20 @@
 		case <-hedge.C:
 			// A hedge requests no tokens from other daemons, because the response may
 			// arrive while it waits for them.
-			if running < call.attempts.RemainingRuns() && call.forwarder.spendLocal(call.service.Name) {
+			if call.runs.mayClaim() && call.forwarder.spendLocal(call.service.Name) {
 				call.logger.Debug("hedged", "after", time.Since(call.started))
 				_ = start() // if no replica can be chosen, the first attempt continues alone
 			}
 		case result := <-results:
 			running--
 			hedge.Stop()
-			switch done, failure := call.classifyResult(result); {
+			done, failure := call.classifyResult(result)
+			call.runs.end(call.attempts.RemainingRuns())
+			switch {
 			case done:
 				call.writeResponse(result.replicaResponse)
 				return
-			case failure == nil && running < call.attempts.RemainingRuns(): // retry
+			case failure == nil && call.runs.mayClaim(): // retry
 				if start() == nil {
 					continue
 				}
@@ -128,10 +140,8 @@
 	switch {
 	case ctx.Err() != nil: // canceled; shows nothing about the replica
 	case err != nil && dragonflyhatch.KindOf(err) == dragonflyhatch.KindUpstreamUnavailable:
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			node.MarkTerminated()
-		}
-		call.forwarder.prober.markUnreachable(node)
+		call.forwarder.markNoConnection(node, err)
+	case err != nil && node.DownFor(now) > 0: // a probe found it dead while a kept connection was silent
 	case err != nil:
 		node.RecordResponse(now, now.Sub(started), true)
 	case !replicaResponse.info.NotRun:
@@ -141,13 +151,100 @@
 	return plainResult{node, replicaResponse, err}
 }
 
+// markNoConnection records that no connection to the node could be opened because of err.
+func (forwarder *Forwarder) markNoConnection(node *hatchpath.Node, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		node.MarkTerminated()
+	}
+	forwarder.prober.markUnreachable(node)
+}
+
 // exchangePlain sends the request to the node and returns the response after
-// checkResponse has accepted it.
+// checkResponse has accepted it. A safe request uses a kept connection if there is one. If
+// that fails without a response to this request, the request is sent again on a new connection, as
+// far as it may run again.
 func (call *call) exchangePlain(ctx context.Context, node *hatchpath.Node) (*replicaResponse, error) {
-	replicaExchange, err := openExchange(ctx, call.outgoingRequest(node.Address, dragonflyhatch.Attempt{ReplicaID: node.ID}))
+	resent := false
+	if kept := call.takeKept(node); kept != nil {
+		call.forwarder.metricSet.reuses.Inc(1)
+		replicaResponse, err := call.exchangeKept(ctx, node, kept)
+		if !errors.Is(err, errNoResponse) || ctx.Err() != nil || node.DownFor(time.Now()) > 0 || !call.runs.resend() {
+			return replicaResponse, err
+		}
+		call.logger.Debug("kept connection failed", "address", node.Address, "reason", err.Error())
+		resent = true
+	}
+	replicaExchange, err := call.forwarder.openExchange(ctx, call.outgoingRequest(node.Address, dragonflyhatch.Attempt{ReplicaID: node.ID}))
 	if err != nil {
+		if resent && ctx.Err() == nil && dragonflyhatch.KindOf(err) == dragonflyhatch.KindUpstreamUnavailable {
+			call.forwarder.markNoConnection(node, err)
+			err = upstreamLost(node.Address, err) // the first copy of the request may have run
+		}
 		return nil, err
 	}
+	replicaResponse, err := call.finishExchange(node, replicaExchange, nil)
+	if err == nil && resent && replicaResponse.info.NotRun {
+		return nil, upstreamLost(node.Address, errors.New("refused the second copy of a request, and may have run the first"))
+	}
+	return replicaResponse, err
+}
+
+// takeKept returns a kept connection for the call, or nil if there is none or the call must
+// use a new one. If the request could not be sent again, a connection that the replica has
+// just closed would fail it.
+func (call *call) takeKept(node *hatchpath.Node) *keptConn {
+	if !call.mayUseKept() || !call.runs.mayClaim() {
+		return nil
+	}
+	return call.forwarder.conns.take(time.Now(), node, call.info.ID)
+}
+
+// mayUseKept reports whether the call may use a kept connection and leave one. A long body
+// is written concurrently, and the write may outlast the exchange, so such requests leave no
+// connection in a known state.
+func (call *call) mayUseKept() bool {
+	return call.route.Class == dragonflyhatch.RouteSafe && call.info.ID != "" && len(call.body) <= readBufferSize
+}
+
+// exchangeKept sends the request on the kept connection. An error that is errNoResponse means
+// that no byte of a response to this request was read. If no response arrives, the replica
+// is probed, since no connection is opened that would show that it is dead.
+func (call *call) exchangeKept(ctx context.Context, node *hatchpath.Node, kept *keptConn) (*replicaResponse, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	waiting, stopWaiting := context.WithCancel(ctx)
+	defer stopWaiting()
+	go func() {
+		for delay := keptProbeDelay; ; delay = repeatCheckDelay {
+			select {
+			case <-waiting.Done():
+				return
+			case <-time.After(delay):
+			}
+			if len(call.forwarder.prober.check(waiting, []*hatchpath.Node{node}, nil)) > 0 {
+				cancel()
+				return
+			}
+		}
+	}()
+	replicaExchange, err := newExchange(ctx, kept.conn, call.outgoingRequest(node.Address, dragonflyhatch.Attempt{ReplicaID: node.ID}))
+	if err != nil {
+		return nil, err
+	}
+	stopWaiting()
+	info := call.forwarder.dialect.ParseResponse(replicaExchange.response.StatusCode, replicaExchange.response.Header)
+	if info.ID != call.info.ID { // a late copy of an earlier response
+		replicaExchange.close()
+		call.logger.Warn("response to another request on a kept connection", "address", node.Address, "other", info.ID)
+		return nil, upstreamLost(node.Address, errors.Mark(errors.New("a response to another request"), errNoResponse))
+	}
+	return call.finishExchange(node, replicaExchange, kept.ids)
+}
+
+// finishExchange reads the body of the response, checks it and ends the exchange. The
+// connection, which has carried the requests with the ids before, is kept if it may carry
+// another safe request.
+func (call *call) finishExchange(node *hatchpath.Node, replicaExchange *exchange, ids []string) (*replicaResponse, error) {
 	defer replicaExchange.close()
 	status, header := replicaExchange.response.StatusCode, replicaExchange.response.Header
 	info := call.forwarder.dialect.ParseResponse(status, header)
@@ -156,7 +253,15 @@
 	if err != nil {
 		return nil, upstreamLost(node.Address, err)
 	}
-	return call.checkResponse(node.Address, &replicaResponse{status: status, header: header, info: info, body: body})
+	response, err := call.checkResponse(node.Address, &replicaResponse{status: status, header: header, info: info, body: body})
+	if err == nil && call.mayUseKept() && info.ID == call.info.ID && status < http.StatusMultipleChoices &&
+		mayHaveBody(call.request.Method, status) && !info.Leaving && !info.Closing && replicaExchange.isComplete() {
+		if conn := replicaExchange.detach(); conn != nil {
+			limit := keptPerReplica(call.service.MaxConnections, call.forwarder.fleet.Daemons())
+			call.forwarder.conns.put(time.Now(), &keptConn{conn: conn, process: node.Process(), ids: append(ids, call.info.ID)}, limit, header)
+		}
+	}
+	return response, err
 }
 
 // checkResponse returns an error unless the response belongs to the request and,
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -261,7 +261,7 @@
 	stream.events = 0
 
 	head := pipeline.Nodes[0]
-	replicaExchange, err := openExchange(ctx, stream.outgoingRequest(head.Address, dragonflyhatch.Attempt{
+	replicaExchange, err := stream.forwarder.openExchange(ctx, stream.outgoingRequest(head.Address, dragonflyhatch.Attempt{
 		ReplicaID:   head.ID,
 		Stages:      pipeline.Stages,
 		ResumeAfter: stream.resumeAfter,
