--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -23,6 +23,9 @@
 
 	fullEnginesAvoided metrics.Counter
 	fullEnginesUsed    metrics.Counter
+	attempts           metrics.Counter // connections opened for attempts
+	reuses             metrics.Counter // requests sent on kept connections
+	probes             metrics.Counter // connections opened by probes
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -47,6 +50,9 @@
 
 		fullEnginesAvoided: metrics.GetOrRegisterCounter("memory.streamsKeptAway", registry),
 		fullEnginesUsed:    metrics.GetOrRegisterCounter("memory.streamsAtFull", registry),
+		attempts:           metrics.GetOrRegisterCounter("connections.attempt", registry),
+		reuses:             metrics.GetOrRegisterCounter("connections.reuse", registry),
+		probes:             metrics.GetOrRegisterCounter("connections.probe", registry),
 	}
 }
 
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -264,7 +264,7 @@
 	stream.events = 0
 
 	head := pipeline.Nodes[0]
-	replicaExchange, err := openExchange(ctx, stream.outgoingRequest(head.Address, dragonflyhatch.Attempt{
+	replicaExchange, err := stream.forwarder.openExchange(ctx, stream.outgoingRequest(head.Address, dragonflyhatch.Attempt{
 		ReplicaID:   head.ID,
 		Stages:      pipeline.Stages,
 		ResumeAfter: stream.resumeAfter,
@@ -407,8 +407,11 @@
 		failure.Detail = reason
 	}
 	stream.prepaid = prepaid
+	if len(culprits) == 0 { // the head first: if it is dead, the others are not probed
+		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes[:1], pipeline.Nodes[0])
+	}
 	if len(culprits) == 0 {
-		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes, pipeline.Nodes[0])
+		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes[1:], nil)
 	}
 	if len(culprits) == 0 {
 		culprits = []string{pipeline.Nodes[0].Address}
