Gossip carries how long ago any daemon last failed to reach the store

Cause: a daemon knows from gossip when the store was last read, but not that others have just failed to, so that each of them finds out by itself. Ruled out: a negative age for "unknown" as in StoreAge; the zero value of the struct would then say that the store has failed just now.

--- a/fleet.go
+++ b/fleet.go
@@ -35,6 +35,7 @@
 	ReplicasVersion    uint64
 	ReplicasDigest     uint64          // of the registrations that the sender knows; equal digests mean equal registrations
 	StoreAge           time.Duration   // since the sender's versions were last confirmed by a read of the store; negative if unknown
+	StoreFailureAge    time.Duration   // since any daemon last failed to reach the store; 0 if none is known, or if one has reached it since
 	ReplicaUpdates     []ReplicaChange // the most recent changes, oldest first
 	ReplicaUpdatesFrom uint64          // the changes apply only to a receiver that knows all changes up to this version
 	Leader             string          // host that places layers, according to the sender
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -216,16 +216,17 @@
 
 func encodeGossip(gossip dragonflyhatch.Gossip) *GossipMessage {
 	message := &GossipMessage{
-		From:            encodeMember(gossip.From),
-		MembersDigest:   gossip.MembersDigest,
-		Suspects:        gossip.Suspects,
-		LostReplicas:    gossip.LostReplicas,
-		RoutingVersion:  gossip.RoutingVersion,
-		ReplicasVersion: gossip.ReplicasVersion,
-		ReplicasDigest:  gossip.ReplicasDigest,
-		StoreAgeMs:      encodeAge(gossip.StoreAge),
-		Leader:          gossip.Leader,
-		Term:            gossip.Term,
+		From:              encodeMember(gossip.From),
+		MembersDigest:     gossip.MembersDigest,
+		Suspects:          gossip.Suspects,
+		LostReplicas:      gossip.LostReplicas,
+		RoutingVersion:    gossip.RoutingVersion,
+		ReplicasVersion:   gossip.ReplicasVersion,
+		ReplicasDigest:    gossip.ReplicasDigest,
+		StoreAgeMs:        encodeAge(gossip.StoreAge),
+		StoreFailureAgeMs: encodeFailureAge(gossip.StoreFailureAge),
+		Leader:            gossip.Leader,
+		Term:              gossip.Term,
 	}
 	for _, member := range gossip.Members {
 		message.Members = append(message.Members, encodeMember(member))
@@ -267,6 +268,7 @@
 		ReplicasVersion: message.GetReplicasVersion(),
 		ReplicasDigest:  message.GetReplicasDigest(),
 		StoreAge:        decodeAge(message.StoreAgeMs),
+		StoreFailureAge: time.Duration(message.GetStoreFailureAgeMs()) * time.Millisecond,
 		Leader:          message.GetLeader(),
 		Term:            message.GetTerm(),
 	}
@@ -340,6 +342,15 @@
 	return &millis
 }
 
+// encodeFailureAge returns the age in milliseconds, at least 1, or nil if it is 0, that
+// is, if no failure is known.
+func encodeFailureAge(age time.Duration) *uint32 {
+	if age <= 0 {
+		return nil
+	}
+	return encodeAge(max(age, time.Millisecond))
+}
+
 func decodeAge(millis *uint32) time.Duration {
 	if millis == nil {
 		return -1
--- a/hatchpeer/load_test.go
+++ b/hatchpeer/load_test.go
@@ -13,8 +13,9 @@
 func TestLoadSurvivesEncoding(t *testing.T) {
 	process := dragonflyhatch.ReplicaProcess{ID: "r1", Address: "10.0.0.1:80", Started: 7}
 	sent := dragonflyhatch.Gossip{
-		StoreAge:   -1,
-		QueueWaits: []dragonflyhatch.QueueWait{{Address: "10.0.0.1:80", Wait: 40 * time.Millisecond, Running: 3, Waiting: 2, Capacity: 90, Age: time.Second}},
+		StoreAge:        -1,
+		StoreFailureAge: 1500 * time.Millisecond,
+		QueueWaits:      []dragonflyhatch.QueueWait{{Address: "10.0.0.1:80", Wait: 40 * time.Millisecond, Running: 3, Waiting: 2, Capacity: 90, Age: time.Second}},
 		RefusingReplicas: []dragonflyhatch.ReplicaRefusals{
 			{Process: process, Refusals: 4, First: 2 * time.Second, Latest: 20 * time.Millisecond, Accepted: -1},
 			{Process: process, Refusals: 1, First: time.Second, Latest: time.Second, Accepted: 0},
