--- a/hatchpeer/compress.go
+++ b/hatchpeer/compress.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"encoding/json"
 	"io"
 	"sync"
 
@@ -13,14 +14,45 @@
 )
 
 const (
-	// minCompressedSize is the size in bytes from which a snapshot is compressed. A
-	// smaller one takes a few milliseconds over the slowest link, whereas the
-	// compressor needs a megabyte of memory.
-	minCompressedSize = 64 << 10
+	// minCompressedSize is the size in bytes from which a snapshot is compressed. Smaller
+	// ones fit into a few packets.
+	minCompressedSize = 4 << 10
+	// minCompressedChanges is the size in bytes from which the changes of registrations in
+	// a gossip message are compressed: about four of them.
+	minCompressedChanges = 1 << 10
 	// maxSnapshotSize is the limit of an uncompressed snapshot in bytes.
 	maxSnapshotSize = 16 << 20
 )
 
+// gzipMagic is how compressed data begins, which JSON never does.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// gzipWriters holds writers that are not in use. Each needs about a megabyte, which the
+// garbage collector may take back.
+var gzipWriters sync.Pool
+
+// compress returns the value compressed with gzip.
+func compress(value []byte) ([]byte, error) {
+	var compressed bytes.Buffer
+	writer, ok := gzipWriters.Get().(*gzip.Writer)
+	if ok {
+		writer.Reset(&compressed)
+	} else {
+		var err error
+		if writer, err = gzip.NewWriterLevel(&compressed, gzip.BestSpeed); err != nil {
+			return nil, errors.Wrap(err, "compressor")
+		}
+	}
+	defer gzipWriters.Put(writer)
+	if _, err := writer.Write(value); err != nil {
+		return nil, errors.Wrap(err, "compressor")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "compressor")
+	}
+	return compressed.Bytes(), nil
+}
+
 // compressor compresses each snapshot once for all the peers that request it. It is
 // safe for concurrent use.
 type compressor struct {
@@ -42,36 +74,62 @@
 	if known, ok := compressor.latest[kind]; ok && known.sum == sum {
 		return known.data, nil
 	}
-	var compressed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
+	compressed, err := compress(value)
 	if err != nil {
-		return nil, errors.Wrap(err, "compressor")
-	}
-	if _, err := writer.Write(value); err != nil {
-		return nil, errors.Wrap(err, "compressor")
-	}
-	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "compressor")
+		return nil, err
 	}
 	if compressor.latest == nil {
 		compressor.latest = make(map[dragonflyhatch.SnapshotKind]compressedSnapshot)
 	}
-	compressor.latest[kind] = compressedSnapshot{sum, compressed.Bytes()}
-	return compressed.Bytes(), nil
+	compressor.latest[kind] = compressedSnapshot{sum, compressed}
+	return compressed, nil
 }
 
-// decompress reverses compress. It fails if the result exceeds maxSnapshotSize.
-func decompress(compressed []byte) ([]byte, error) {
+// decompress reverses compress. It fails if the result exceeds the limit in bytes.
+func decompress(compressed []byte, limit int) ([]byte, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(compressed))
 	if err != nil {
-		return nil, errors.Wrap(err, "decompress snapshot")
+		return nil, errors.Wrap(err, "decompress")
 	}
-	value, err := io.ReadAll(io.LimitReader(reader, maxSnapshotSize+1))
+	value, err := io.ReadAll(io.LimitReader(reader, int64(limit)+1))
 	switch {
 	case err != nil:
-		return nil, errors.Wrap(err, "decompress snapshot")
-	case len(value) > maxSnapshotSize:
-		return nil, errors.Newf("uncompressed snapshot is larger than %d bytes", maxSnapshotSize)
+		return nil, errors.Wrap(err, "decompress")
+	case len(value) > limit:
+		return nil, errors.Newf("uncompressed value is larger than %d bytes", limit)
 	}
 	return value, nil
 }
+
+// encodeChanges returns the changes of registrations as JSON, compressed if they are
+// large, or nil if that fails: the peer then fetches a snapshot.
+func encodeChanges(changes []dragonflyhatch.ReplicaChange) []byte {
+	text, err := json.Marshal(changes)
+	if err != nil { // cannot happen for plain structs
+		return nil
+	}
+	if len(text) < minCompressedChanges {
+		return text
+	}
+	compressed, err := compress(text)
+	if err != nil { // cannot happen when writing to memory; the text serves as well
+		return text
+	}
+	return compressed
+}
+
+// decodeChanges reverses encodeChanges.
+func decodeChanges(encoded []byte) ([]dragonflyhatch.ReplicaChange, error) {
+	if bytes.HasPrefix(encoded, gzipMagic) {
+		text, err := decompress(encoded, maxFleetMessage)
+		if err != nil {
+			return nil, err
+		}
+		encoded = text
+	}
+	var changes []dragonflyhatch.ReplicaChange
+	if err := json.Unmarshal(encoded, &changes); err != nil {
+		return nil, errors.Wrap(err, "decode changes")
+	}
+	return changes, nil
+}
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"net"
 	"net/http"
@@ -157,7 +156,7 @@
 	}
 	value := reply.GetValue()
 	if reply.GetPacked() {
-		if value, err = decompress(value); err != nil {
+		if value, err = decompress(value, maxSnapshotSize); err != nil {
 			return 0, nil, errors.Wrapf(err, "snapshot of peer %s", address)
 		}
 	}
@@ -250,8 +249,7 @@
 	}
 	encodeLoad(message, gossip)
 	if len(gossip.ReplicaUpdates) > 0 {
-		changes, err := json.Marshal(gossip.ReplicaUpdates)
-		if err == nil { // err is nil for plain structs; without changes the peer would fetch a snapshot
+		if changes := encodeChanges(gossip.ReplicaUpdates); changes != nil {
 			message.ReplicaNews, message.ReplicaNewsFrom = changes, gossip.ReplicaUpdatesFrom
 		}
 	}
@@ -293,8 +291,10 @@
 		gossip.SuspectParts = append(gossip.SuspectParts, decodeSuspect(suspect))
 	}
 	decodeLoad(&gossip, message)
-	if changes := message.GetReplicaNews(); len(changes) > 0 && json.Unmarshal(changes, &gossip.ReplicaUpdates) == nil {
-		gossip.ReplicaUpdatesFrom = message.GetReplicaNewsFrom()
+	if encoded := message.GetReplicaNews(); len(encoded) > 0 {
+		if changes, err := decodeChanges(encoded); err == nil { // otherwise this daemon fetches a snapshot
+			gossip.ReplicaUpdates, gossip.ReplicaUpdatesFrom = changes, message.GetReplicaNewsFrom()
+		}
 	}
 	return gossip
 }
