The gateway paces its calls to an unavailable store

Change: while hatchmember.Freshness says that calls are paced, runPolling makes the only ones: followers begin no listing and candidates leave the lease. A watch that works goes on, and its answers count as successes; one that fails counts as a failed call, so that followers need not list to find out. A poll without response counts as failed after 0.4 s. Log line "state of the store has changed", metric fleet.storeCallsPaced. Ruled out: pacing the followers by themselves (two kinds, so twice the calls); pushing each change of state (in a partial outage several a second; at most one in 2 s, gossip carries the rest). The holder of the lease makes no periodic call today, so nothing of it is paced.

--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -43,13 +43,19 @@
 func (gateway *Gateway) runFollower(ctx context.Context, follower follower) {
 	prefix := follower.kind() + "/"
 	pause, unreachable := retryPause, false
+	gateway.awaitFirstCall(ctx, follower.kind())
 	for ctx.Err() == nil {
 		if !gateway.shouldFollowStore(time.Now()) {
 			gateway.pause(ctx, followCheckInterval)
 			continue
 		}
+		started := time.Now()
 		objects, version, err := gateway.store.List(ctx, prefix)
+		if ctx.Err() != nil {
+			return
+		}
 		gateway.recordStoreReachable(err == nil)
+		gateway.recordStoreCall(started, err == nil)
 		if err == nil {
 			follower.applyListing(objects, version, unreachable)
 			if unreachable {
@@ -57,6 +63,7 @@
 			}
 			pause, unreachable = retryPause, false
 			err = gateway.watchChanges(ctx, follower, prefix, version)
+			gateway.recordWatchEnd(ctx, err)
 		}
 		if ctx.Err() != nil {
 			return
@@ -77,6 +84,15 @@
 	}
 }
 
+// recordWatchEnd records that the store has ended a watch, which counts as a failed call
+// now, however long ago the watch began. Without that each follower would list the store
+// again to find out that it is unavailable.
+func (gateway *Gateway) recordWatchEnd(ctx context.Context, err error) {
+	if ctx.Err() == nil && !errors.Is(err, errNotFollowing) && !errors.Is(err, dragonflyhatch.ErrHistoryGone) {
+		gateway.recordStoreCall(time.Now(), false)
+	}
+}
+
 // errNotFollowing ends the watches of a daemon that no longer needs to follow the
 // store.
 var errNotFollowing = errors.New("store is followed by other daemons")
@@ -99,7 +115,8 @@
 			follower.applyChanges(changes, version)
 			gateway.pause(ctx, watchPause)
 		}
-		if !gateway.shouldFollowStore(time.Now()) {
+		gateway.recordStoreCall(time.Now(), true)
+		if !gateway.goesOnFollowing(time.Now()) {
 			return errNotFollowing
 		}
 	}
@@ -115,7 +132,7 @@
 		needed := time.Now()
 		for following.Err() == nil && time.Since(needed) < unfollowDelay {
 			sleep(following, unfollowDelay/4)
-			if now := time.Now(); gateway.shouldFollowStore(now) {
+			if now := time.Now(); gateway.goesOnFollowing(now) {
 				needed = now
 			}
 		}
@@ -260,12 +277,15 @@
 	follower.updateReplicas(func(replicas *replicaSet, now time.Time) bool {
 		if afterOutage {
 			replicas.startGrace(now)
+		} else if end := follower.freshness.OutageEnd(now); now.Sub(end) < reregistrationGrace {
+			replicas.startGrace(end)
 		}
 		return replicas.replace(list, version, now)
 	})
 }
 
-// applyPolledListing applies a listing that was read by polling beside the watch.
+// applyPolledListing applies a listing that was read by polling beside the watch. It is
+// the first one after an outage in which the calls are paced.
 func (follower replicaFollower) applyPolledListing(objects []dragonflyhatch.Object, version uint64) {
 	follower.applyListing(objects, version, false)
 }
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -57,6 +57,8 @@
 	tableLoaded       chan struct{} // closed when the first table is in force
 	peerContact       chan struct{} // closed at the first gossip from a peer
 	firstContact      sync.Once
+	storeCalled       chan struct{} // closed when the first call to the store has ended
+	firstCall         sync.Once
 	pushRequests      chan struct{} // holds an item while a push to peers is due
 	serverFailed      chan error    // holds the error of the first server that failed
 
@@ -121,6 +123,7 @@
 		slots:        hatchlimit.NewSlotSchedule(),
 		tableLoaded:  make(chan struct{}),
 		peerContact:  make(chan struct{}),
+		storeCalled:  make(chan struct{}),
 		pushRequests: make(chan struct{}, 1),
 		serverFailed: make(chan error, 1),
 
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -150,7 +150,8 @@
 		RoutingVersion:  gateway.routing.version,
 		ReplicasVersion: gateway.replicas.announced(),
 		ReplicasDigest:  gateway.replicas.digest(),
-		StoreAge:        gateway.freshness.Age(now),
+		StoreAge:        gateway.freshness.ReportedAge(now),
+		StoreFailureAge: gateway.freshness.FailureAge(now),
 		Leader:          gateway.leader.host,
 		Term:            gateway.leader.term,
 	}
@@ -226,6 +227,7 @@
 		gateway.reports.add(address, gossip.From.Host, now)
 	}
 	gateway.updateDaemonCount()
+	gateway.reportOutage(gateway.freshness.MergeCalls(gossip.StoreAge, gossip.StoreFailureAge, gateway.roster.Size(), now))
 	gateway.replicas.observeVersion(gossip.ReplicasVersion)
 	if gateway.replicas.applyUpdates(gossip, now) {
 		gateway.logger.Info("replica updates received", "host", gossip.From.Host, "version", gateway.replicas.version)
--- a/hatchgateway/leader.go
+++ b/hatchgateway/leader.go
@@ -98,7 +98,8 @@
 		leader.vacantSince = now
 	}
 	rank := gateway.roster.Rank(leaseName)
-	return rank >= 0 && !now.Before(leader.barredUntil) && now.Sub(leader.vacantSince) >= time.Duration(rank+1)*rankDelay
+	// While the store serves nobody, the lease cannot be taken either.
+	return rank >= 0 && !gateway.freshness.IsPaced(now) && !now.Before(leader.barredUntil) && now.Sub(leader.vacantSince) >= time.Duration(rank+1)*rankDelay
 }
 
 // acquireLease makes this daemon the leader by a conditional write, unless the
@@ -109,8 +110,12 @@
 	self := gateway.roster.Self()
 	known := gateway.leader.term
 	gateway.mu.Unlock()
+	started := time.Now()
 	object, err := gateway.store.Get(ctx, leaseName)
 	missing := errors.Is(err, dragonflyhatch.ErrObjectMissing)
+	if ctx.Err() == nil {
+		gateway.recordStoreCall(started, err == nil || missing)
+	}
 	if err != nil && !missing {
 		return err
 	}
--- a/hatchgateway/metrics.go
+++ b/hatchgateway/metrics.go
@@ -44,6 +44,14 @@
 			defer gateway.mu.Unlock()
 			return gateway.freshness.Age(time.Now()).Milliseconds()
 		},
+		"fleet.storeCallsPaced": func() int64 {
+			gateway.mu.Lock()
+			defer gateway.mu.Unlock()
+			if gateway.freshness.IsPaced(time.Now()) {
+				return 1
+			}
+			return 0
+		},
 		"fleet.leader": func() int64 {
 			if gateway.isLeader() {
 				return 1
--- a/hatchgateway/poll.go
+++ b/hatchgateway/poll.go
@@ -20,6 +20,10 @@
 	stalenessShare = 0.75
 	// maxStalenessLimit bounds that time where the platform sets no bounds.
 	maxStalenessLimit = 5 * time.Second
+	// slowCall is the time after which a call for the configuration counts as failed until
+	// it ends. If the store does not respond at all, the fleet learns that before the
+	// time-out of the call, that is, before all daemons find their knowledge too old.
+	slowCall = 400 * time.Millisecond
 	// rankCheckInterval is the longest pause between two checks of the daemon's rank.
 	rankCheckInterval = 400 * time.Millisecond
 )
@@ -51,16 +55,18 @@
 }
 
 // nextStoreRead returns whether polling is this daemon's duty, and when it reads the
-// store next. Before the first configuration only a poller does: runFollower gets that.
+// store next. Before the first configuration only a poller does: runFollower gets that,
+// unless the store serves nobody and all calls are paced.
 func (gateway *Gateway) nextStoreRead() (isPoller bool, next time.Time) {
+	now := time.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	rank := gateway.roster.Rank(storeRankName)
 	isPoller = rank >= 0 && rank < pollerCount
-	if gateway.routing.version == 0 && !isPoller {
-		return false, time.Now().Add(rankCheckInterval)
+	if gateway.routing.version == 0 && !isPoller && !gateway.freshness.IsPaced(now) {
+		return false, now.Add(rankCheckInterval)
 	}
-	return isPoller, gateway.freshness.NextRead(isPoller, gateway.roster.Self().StoreLost)
+	return isPoller, gateway.freshness.NextCall(now, isPoller, gateway.roster.Self().StoreLost)
 }
 
 // pollOnce polls the store once and returns the version of the configuration object.
@@ -69,6 +75,7 @@
 func (gateway *Gateway) pollOnce(ctx context.Context, lastVersion uint64, isPoller bool) uint64 {
 	started := time.Now()
 	version, err := gateway.readStore(ctx, lastVersion)
+	gateway.firstCall.Do(func() { close(gateway.storeCalled) })
 	if err != nil {
 		gateway.logger.Debug("polling store failed", "error", err) // an outage is logged by runFollower
 	}
@@ -80,14 +87,37 @@
 	if age := gateway.freshness.Age(started); !isPoller && err == nil {
 		gateway.logger.Info("store read by a daemon that does not poll", "age", age, "version", gateway.routing.version)
 	}
-	gateway.freshness.RecordRead(started, time.Now(), err == nil)
+	gateway.reportOutage(gateway.freshness.RecordRead(started, time.Now(), err == nil))
 	return version
 }
 
+// recordStoreCall records a call to the store other than a poll. A call that ended because
+// of this daemon must not be recorded.
+func (gateway *Gateway) recordStoreCall(started time.Time, reached bool) {
+	gateway.firstCall.Do(func() { close(gateway.storeCalled) })
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.reportOutage(gateway.freshness.RecordCall(started, time.Now(), reached))
+}
+
+// reportOutage logs the beginning or the end of an outage of the store and pushes it to
+// peers, if it is news. The mutex must be held.
+func (gateway *Gateway) reportOutage(news bool) {
+	if !news {
+		return
+	}
+	now := time.Now()
+	gateway.logger.Info("state of the store has changed", "failing", gateway.freshness.FailureAge(now) > 0,
+		"paced", gateway.freshness.IsPaced(now), "age", gateway.freshness.Age(now))
+	gateway.requestPush()
+}
+
 // readStore applies the store's configuration and its replicas. All objects share one
 // version counter, so the replicas are listed only if something has changed.
 func (gateway *Gateway) readStore(ctx context.Context, lastVersion uint64) (uint64, error) {
+	slow := time.AfterFunc(slowCall, func() { gateway.recordStoreCall(time.Now(), false) })
 	objects, version, err := gateway.store.List(ctx, platform.RoutingKind+"/")
+	slow.Stop()
 	if err != nil {
 		return lastVersion, err
 	}
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -63,10 +63,12 @@
 	return list
 }
 
-// startGrace begins the grace period after an outage of the store, in which removals
-// are deferred.
-func (set *replicaSet) startGrace(now time.Time) {
-	set.graceUntil = now.Add(reregistrationGrace)
+// startGrace begins the grace period after an outage of the store that ended at the time,
+// in which removals are deferred. A later end of the period stays.
+func (set *replicaSet) startGrace(end time.Time) {
+	if until := end.Add(reregistrationGrace); until.After(set.graceUntil) {
+		set.graceUntil = until
+	}
 }
 
 // put applies a registration and reports whether it was new or newer than the known
