--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -53,6 +53,7 @@
 	pushToLeader      atomic.Bool               // the next push goes to the leader too
 	fetchingSnapshots atomic.Bool               // snapshots are being fetched from a peer
 	newerPeer         atomic.Pointer[newerPeer] // the latest peer with newer versions, until snapshots are fetched from it
+	sources           snapshotSources
 	seeds             atomic.Pointer[[]string]
 	tableLoaded       chan struct{} // closed when the first table is in force
 	peerContact       chan struct{} // closed at the first gossip from a peer
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -197,6 +197,7 @@
 	for _, address := range gossip.LostReplicas {
 		gateway.forwarder.RecheckReplica(address)
 	}
+	gateway.sources.record(gossip, gateway.settings.Site, now)
 	confirmedAt := now.Add(-gossip.StoreAge)
 	if gateway.isBehind(gossip) {
 		gateway.newerPeer.Store(&newerPeer{gossip, confirmedAt})
@@ -335,18 +336,18 @@
 	gateway.daemonCount.Store(int32(gateway.roster.Size()))
 }
 
-// fetchSnapshots fetches the configuration and the replicas from the peer if its
-// versions are newer.
+// fetchSnapshots fetches the configuration and the replicas if the peer's versions are
+// newer, each from a daemon of the own site that is known to have it, or else from the peer.
 func (gateway *Gateway) fetchSnapshots(ctx context.Context, peer dragonflyhatch.Gossip) {
 	local := gateway.versions()
 	if peer.RoutingVersion > local.RoutingVersion {
 		started := time.Now()
-		_, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotRouting)
+		_, value, host, err := gateway.fetchSnapshot(ctx, peer, dragonflyhatch.SnapshotRouting)
 		if err != nil {
-			gateway.logger.Warn("fetching configuration from peer failed", "host", peer.From.Host, "error", err)
+			gateway.logger.Warn("fetching configuration from peer failed", "host", host, "error", err)
 			return
 		}
-		gateway.applyRouting(value, peer.From.Host)
+		gateway.applyRouting(value, host)
 		// Versions that follow in quick succession are fetched together.
 		gateway.pause(ctx, min(configurationPauseFactor*time.Since(started), maxConfigurationPause))
 	}
@@ -357,12 +358,12 @@
 	if peer.ReplicasVersion <= gateway.versions().ReplicasVersion {
 		return
 	}
-	version, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotReplicas)
+	version, value, host, err := gateway.fetchSnapshot(ctx, peer, dragonflyhatch.SnapshotReplicas)
 	if err != nil {
-		gateway.logger.Warn("fetching replicas from peer failed", "host", peer.From.Host, "error", err)
+		gateway.logger.Warn("fetching replicas from peer failed", "host", host, "error", err)
 		return
 	}
-	gateway.applyReplicaSnapshot(version, value, peer.From.Host)
+	gateway.applyReplicaSnapshot(version, value, host)
 	if len(value) > largeSnapshotBytes {
 		gateway.pause(ctx, largeSnapshotPause)
 	}
