--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -53,10 +53,13 @@
 	pushToLeader      atomic.Bool               // the next push goes to the leader too
 	fetchingSnapshots atomic.Bool               // snapshots are being fetched from a peer
 	newerPeer         atomic.Pointer[newerPeer] // the latest peer with newer versions, until snapshots are fetched from it
+	sources           snapshotSources
 	seeds             atomic.Pointer[[]string]
 	tableLoaded       chan struct{} // closed when the first table is in force
 	peerContact       chan struct{} // closed at the first gossip from a peer
 	firstContact      sync.Once
+	storeCalled       chan struct{} // closed when the first call to the store has ended
+	firstCall         sync.Once
 	pushRequests      chan struct{} // holds an item while a push to peers is due
 	serverFailed      chan error    // holds the error of the first server that failed
 
@@ -121,6 +124,7 @@
 		slots:        hatchlimit.NewSlotSchedule(),
 		tableLoaded:  make(chan struct{}),
 		peerContact:  make(chan struct{}),
+		storeCalled:  make(chan struct{}),
 		pushRequests: make(chan struct{}, 1),
 		serverFailed: make(chan error, 1),
 
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -152,7 +152,8 @@
 		RoutingVersion:  gateway.routing.version,
 		ReplicasVersion: gateway.replicas.announced(),
 		ReplicasDigest:  gateway.replicas.digest(),
-		StoreAge:        gateway.freshness.Age(now),
+		StoreAge:        gateway.freshness.ReportedAge(now),
+		StoreFailureAge: gateway.freshness.FailureAge(now),
 		Leader:          gateway.leader.host,
 		Term:            gateway.leader.term,
 	}
@@ -203,6 +204,7 @@
 	for _, address := range gossip.LostReplicas {
 		gateway.forwarder.RecheckReplica(address)
 	}
+	gateway.sources.record(gossip, gateway.settings.Site, now)
 	confirmedAt := now.Add(-gossip.StoreAge)
 	if gateway.isBehind(gossip) {
 		gateway.newerPeer.Store(&newerPeer{gossip, confirmedAt})
@@ -233,6 +235,7 @@
 		gateway.reports.add(address, gossip.From.Host, now)
 	}
 	gateway.updateDaemonCount()
+	gateway.reportOutage(gateway.freshness.MergeCalls(gossip.StoreAge, gossip.StoreFailureAge, gateway.roster.Size(), now))
 	gateway.replicas.observeVersion(gossip.ReplicasVersion)
 	if gateway.replicas.applyUpdates(gossip, now) {
 		gateway.logger.Info("replica updates received", "host", gossip.From.Host, "version", gateway.replicas.version)
@@ -344,18 +347,18 @@
 	gateway.daemonCount.Store(int32(gateway.roster.Size()))
 }
 
-// fetchSnapshots fetches the configuration and the replicas from the peer if its
-// versions are newer.
+// fetchSnapshots fetches the configuration and the replicas if the peer's versions are
+// newer, each from a daemon of the own site that is known to have it, or else from the peer.
 func (gateway *Gateway) fetchSnapshots(ctx context.Context, peer dragonflyhatch.Gossip) {
 	local := gateway.versions()
 	if peer.RoutingVersion > local.RoutingVersion {
 		started := time.Now()
-		_, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotRouting)
+		_, value, host, err := gateway.fetchSnapshot(ctx, peer, dragonflyhatch.SnapshotRouting)
 		if err != nil {
-			gateway.logger.Warn("fetching configuration from peer failed", "host", peer.From.Host, "error", err)
+			gateway.logger.Warn("fetching configuration from peer failed", "host", host, "error", err)
 			return
 		}
-		gateway.applyRouting(value, peer.From.Host)
+		gateway.applyRouting(value, host)
 		// Versions that follow in quick succession are fetched together.
 		gateway.pause(ctx, min(configurationPauseFactor*time.Since(started), maxConfigurationPause))
 	}
@@ -366,12 +369,12 @@
 	if peer.ReplicasVersion <= gateway.versions().ReplicasVersion {
 		return
 	}
-	version, value, err := gateway.peers.Snapshot(ctx, peer.From.PeerAddress, dragonflyhatch.SnapshotReplicas)
+	version, value, host, err := gateway.fetchSnapshot(ctx, peer, dragonflyhatch.SnapshotReplicas)
 	if err != nil {
-		gateway.logger.Warn("fetching replicas from peer failed", "host", peer.From.Host, "error", err)
+		gateway.logger.Warn("fetching replicas from peer failed", "host", host, "error", err)
 		return
 	}
-	gateway.applyReplicaSnapshot(version, value, peer.From.Host)
+	gateway.applyReplicaSnapshot(version, value, host)
 	if len(value) > largeSnapshotBytes {
 		gateway.pause(ctx, largeSnapshotPause)
 	}
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 	"net"
 	"net/http"
@@ -157,7 +156,7 @@
 	}
 	value := reply.GetValue()
 	if reply.GetPacked() {
-		if value, err = decompress(value); err != nil {
+		if value, err = decompress(value, maxSnapshotSize); err != nil {
 			return 0, nil, errors.Wrapf(err, "snapshot of peer %s", address)
 		}
 	}
@@ -216,16 +215,17 @@
 
 func encodeGossip(gossip dragonflyhatch.Gossip) *GossipMessage {
 	message := &GossipMessage{
-		From:            encodeMember(gossip.From),
-		MembersDigest:   gossip.MembersDigest,
-		Suspects:        gossip.Suspects,
-		LostReplicas:    gossip.LostReplicas,
-		RoutingVersion:  gossip.RoutingVersion,
-		ReplicasVersion: gossip.ReplicasVersion,
-		ReplicasDigest:  gossip.ReplicasDigest,
-		StoreAgeMs:      encodeAge(gossip.StoreAge),
-		Leader:          gossip.Leader,
-		Term:            gossip.Term,
+		From:              encodeMember(gossip.From),
+		MembersDigest:     gossip.MembersDigest,
+		Suspects:          gossip.Suspects,
+		LostReplicas:      gossip.LostReplicas,
+		RoutingVersion:    gossip.RoutingVersion,
+		ReplicasVersion:   gossip.ReplicasVersion,
+		ReplicasDigest:    gossip.ReplicasDigest,
+		StoreAgeMs:        encodeAge(gossip.StoreAge),
+		StoreFailureAgeMs: encodeFailureAge(gossip.StoreFailureAge),
+		Leader:            gossip.Leader,
+		Term:              gossip.Term,
 	}
 	for _, member := range gossip.Members {
 		message.Members = append(message.Members, encodeMember(member))
@@ -249,8 +249,7 @@
 	}
 	encodeLoad(message, gossip)
 	if len(gossip.ReplicaUpdates) > 0 {
-		changes, err := json.Marshal(gossip.ReplicaUpdates)
-		if err == nil { // err is nil for plain structs; without changes the peer would fetch a snapshot
+		if changes := encodeChanges(gossip.ReplicaUpdates); changes != nil {
 			message.ReplicaNews, message.ReplicaNewsFrom = changes, gossip.ReplicaUpdatesFrom
 		}
 	}
@@ -267,6 +266,7 @@
 		ReplicasVersion: message.GetReplicasVersion(),
 		ReplicasDigest:  message.GetReplicasDigest(),
 		StoreAge:        decodeAge(message.StoreAgeMs),
+		StoreFailureAge: time.Duration(message.GetStoreFailureAgeMs()) * time.Millisecond,
 		Leader:          message.GetLeader(),
 		Term:            message.GetTerm(),
 	}
@@ -291,8 +291,10 @@
 		gossip.SuspectParts = append(gossip.SuspectParts, decodeSuspect(suspect))
 	}
 	decodeLoad(&gossip, message)
-	if changes := message.GetReplicaNews(); len(changes) > 0 && json.Unmarshal(changes, &gossip.ReplicaUpdates) == nil {
-		gossip.ReplicaUpdatesFrom = message.GetReplicaNewsFrom()
+	if encoded := message.GetReplicaNews(); len(encoded) > 0 {
+		if changes, err := decodeChanges(encoded); err == nil { // otherwise this daemon fetches a snapshot
+			gossip.ReplicaUpdates, gossip.ReplicaUpdatesFrom = changes, message.GetReplicaNewsFrom()
+		}
 	}
 	return gossip
 }
@@ -340,6 +342,15 @@
 	return &millis
 }
 
+// encodeFailureAge returns the age in milliseconds, at least 1, or nil if it is 0, that
+// is, if no failure is known.
+func encodeFailureAge(age time.Duration) *uint32 {
+	if age <= 0 {
+		return nil
+	}
+	return encodeAge(max(age, time.Millisecond))
+}
+
 func decodeAge(millis *uint32) time.Duration {
 	if millis == nil {
 		return -1
