hatchmember: ranks that are not kept

Cause: Roster.Rank keeps the weight of each host for each name. The trials of refusing processes have a name for each process and trial, so that the map would grow for as long as the daemon runs. Change: TransientRank gives the same rank without keeping the weights. Ruled out: names that repeat after some trials; each process is still new. Run: go test ./hatchmember, ok.

--- a/hatchmember/roster.go
+++ b/hatchmember/roster.go
@@ -359,10 +359,19 @@
 // the named duty. Daemons that cannot reach the store come last; hosts with
 // more CPU come first. It returns -1 if this daemon is leaving.
 func (roster *Roster) Rank(name string) int {
+	return roster.rank(name, roster.weight)
+}
+
+// TransientRank is Rank for a duty that exists for a short time: nothing is kept of it.
+func (roster *Roster) TransientRank(name string) int {
+	return roster.rank(name, rendezvousWeight)
+}
+
+func (roster *Roster) rank(name string, weight func(name, host string) uint64) int {
 	if roster.self.Leaving {
 		return -1
 	}
-	rank, ownWeight := 0, roster.weight(name, roster.self.Host)
+	rank, ownWeight := 0, weight(name, roster.self.Host)
 	for _, entry := range roster.members {
 		if entry.Leaving || entry.isSuspect() {
 			continue
@@ -372,7 +381,7 @@
 			cmp.Compare(roster.self.MilliCores, entry.MilliCores),
 		)
 		if order == 0 {
-			order = cmp.Compare(roster.weight(name, entry.Host), ownWeight)
+			order = cmp.Compare(weight(name, entry.Host), ownWeight)
 		}
 		if order < 0 {
 			rank++
