hatchpath: refusals that daemons share

Cause: each daemon finds out by itself which processes refuse requests, and forgets it (docs/LOAD.md, part 2). Change: Refusals holds what is known of a process's refusals: merging, when a process is refusing, who may try when. Health keeps it in an immutable record; IsFull covers it, so that View.Pipeline and serviceCost need no second exclusion. A due trial makes an engine cheaper for one daemon.

--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -44,6 +44,8 @@
 	downUntil         atomic.Int64 // excluded until then, as unreachable or because its registration is out of date
 	fullUntil         atomic.Int64 // excluded for lack of capacity until then
 	refusals          atomic.Int64 // for lack of capacity since the replica last took a request
+	refusalState      atomic.Pointer[refusalState]
+	taken             atomic.Int64 // when the latest request was sent that the replica took from this daemon, or 0
 	pausedUntil       atomic.Int64 // wants no request until then, as it stated when it refused one
 	slotsAfter        atomic.Int64 // there are no slots for new requests within the limit that it names until then
 	leavingSince      atomic.Int64 // when it first stated that it is leaving, or 0
@@ -424,9 +426,24 @@
 	return health.downUntil.Load() > monotonicNanos(now)
 }
 
+// shortenExclusion ends an exclusion after the duration from now on at the latest.
+func shortenExclusion(until *atomic.Int64, now time.Time, duration time.Duration) {
+	end := monotonicNanos(now.Add(duration))
+	for {
+		old := until.Load()
+		if old <= end || until.CompareAndSwap(old, end) {
+			return
+		}
+	}
+}
+
 // IsFull reports whether the replica has recently refused a request for lack of
-// capacity.
+// capacity, or all requests of all daemons. In the latter case it is not full for the
+// request that this daemon may send as a trial.
 func (health *Health) IsFull(now time.Time) bool {
+	if state := health.refusalState.Load(); state != nil && health.isRefusing(now, state) {
+		return !state.mayTry(now)
+	}
 	return health.fullUntil.Load() > monotonicNanos(now)
 }
 
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -32,6 +32,8 @@
 	Stages []dragonflyhatch.Stage
 	Nodes  []*Node // one for each stage
 	Tokens int     // of the request
+
+	avoidsFull bool // the engines counted as not full when it was chosen
 }
 
 // Begin records at each engine that the request was sent.
@@ -48,6 +50,21 @@
 	}
 }
 
+// BeginTrials counts the request as this daemon's trial of those engines that are treated
+// as refusing, and returns their number. It returns false if another request has become
+// the trial since the pipeline was chosen, which could avoid these engines.
+func (pipeline *Pipeline) BeginTrials(now time.Time) (trials int, ok bool) {
+	if pipeline.avoidsFull && slices.ContainsFunc(pipeline.Nodes, func(node *Node) bool { return node.IsRefusing(now) && node.IsFull(now) }) {
+		return 0, false
+	}
+	for _, node := range pipeline.Nodes {
+		if node.BeginTrial(now) {
+			trials++
+		}
+	}
+	return trials, true
+}
+
 const (
 	// siteCrossingCost is the cost of sending a token's activations to another site,
 	// in units of the time that an accelerator with factor 1 takes for all layers.
@@ -105,6 +122,7 @@
 				!slices.Contains(query.Exclude, node.Address)
 		}
 		if pipeline := set.choosePipeline(now, query, usable); pipeline != nil {
+			pipeline.avoidsFull = avoidFull
 			return pipeline, nil
 		}
 	}
@@ -228,6 +246,9 @@
 		if jitter > 0 {
 			candidate.costPerLayer *= 1 + jitter*query.Random.Float64()
 		}
+		if node.isTrialDue(now) {
+			candidate.costPerLayer *= trialCost
+		}
 		spans = append(spans, candidate)
 		boundary[candidate.First], boundary[candidate.End] = true, true
 	}
--- a/hatchpath/service.go
+++ b/hatchpath/service.go
@@ -63,8 +63,11 @@
 	}
 	cost *= 1 + requests/slots + math.Max(0, requests-slots)
 	cost *= 1 + failurePenalty*node.failureRate.value()
-	if node.IsFull(now) {
+	switch {
+	case node.IsFull(now):
 		cost *= 10
+	case node.isTrialDue(now):
+		cost *= trialCost
 	}
 	return cost
 }
