hatchforward, hatchgateway: send and use shared refusals

Change: the forwarder records refusals at the replica at fault, and first events with the time of sending, and claims trials. The gateway sends and merges Gossip.RefusingReplicas, pushes news (8 in a row, then 4 a second), determines ranks for trials and logs starts and ends (40 in a row, then 2 a second). Counters refusals.*, gauge fleet.refusing. Ruled out: ranks on the request path (a lock and a pass over the members); a push for each refusal (a full fleet has news all the time). Run: go test ./hatchgateway -run TestGossipOfReplicas, ok; go test -race -count=4 -run TestRefusing ./hatchforward, ok.

--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -53,6 +53,9 @@
 	TrialRank(part dragonflyhatch.PromptPart) int
 	// ReportSuspects is called when the evidence on suspected parts has changed.
 	ReportSuspects()
+	// ReportRefusals is called when there is news of a replica that refuses requests for
+	// lack of capacity, or of one that takes them again.
+	ReportRefusals()
 }
 
 // Forwarder is the HTTP handler that serves callers' requests.
--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -20,6 +20,10 @@
 	heldBack    metrics.Counter
 	trials      metrics.Counter
 	slotsDenied metrics.Counter
+
+	refusedAttempts metrics.Counter // for lack of capacity
+	refusedKnown    metrics.Counter // those of replicas that were treated as refusing
+	refusalTrials   metrics.Counter
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -41,6 +45,10 @@
 		heldBack:    metrics.GetOrRegisterCounter("quarantine.refused", registry),
 		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
 		slotsDenied: metrics.GetOrRegisterCounter("limits.slotsDenied", registry),
+
+		refusedAttempts: metrics.GetOrRegisterCounter("refusals.attempts", registry),
+		refusedKnown:    metrics.GetOrRegisterCounter("refusals.attemptsKnown", registry),
+		refusalTrials:   metrics.GetOrRegisterCounter("refusals.trials", registry),
 	}
 }
 
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -43,6 +43,9 @@
 		running++
 		tried = append(tried, node.Address)
 		call.chosenAddress = node.Address
+		if node.BeginTrial(time.Now()) {
+			call.forwarder.metricSet.refusalTrials.Inc(1)
+		}
 		go func() { results <- call.attemptPlain(ctx, node) }()
 		return nil
 	}
@@ -135,7 +138,7 @@
 	case err != nil:
 		node.RecordResponse(now, now.Sub(started), true)
 	case !replicaResponse.info.NotRun:
-		node.RecordAccepted()
+		call.forwarder.recordTaken(now, started, node)
 		node.RecordResponse(now, now.Sub(started), replicaResponse.status >= http.StatusInternalServerError)
 	}
 	return plainResult{node, replicaResponse, err}
@@ -182,7 +185,7 @@
 	replicaResponse := result.replicaResponse
 	switch {
 	case replicaResponse.info.NotRun && isRefusalStatus(replicaResponse.status):
-		recordRefusal(now, result.node, replicaResponse.status)
+		call.forwarder.recordRefusal(now, result.node, replicaResponse.status)
 		return false, call.handleFailure(now, &dragonflyhatch.Failure{
 			Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: result.node.Address + " refused with " + http.StatusText(replicaResponse.status),
 		}, result.node.Address)
@@ -208,16 +211,6 @@
 	return false
 }
 
-// recordRefusal marks the replica as full, or after a 421 as not holding what it
-// registered, so that it is not chosen again immediately.
-func recordRefusal(now time.Time, node *hatchpath.Node, status int) {
-	if status == http.StatusMisdirectedRequest {
-		node.MarkRegistrationStale(now)
-		return
-	}
-	node.MarkFull(now)
-}
-
 // handleFailure records a failed attempt. It returns nil if another one is to
 // follow, and otherwise the failure to report to the caller.
 func (call *call) handleFailure(now time.Time, failure *dragonflyhatch.Failure, culprits ...string) error {
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -211,6 +211,7 @@
 	grantsAfter time.Time     // if set, when other daemons begin to grant one token at each request
 
 	leavingReports atomic.Int32
+	refusalReports atomic.Int32
 
 	confirmedByPeers bool // the other daemons cannot reach the replicas that this one cannot reach
 }
@@ -241,6 +242,7 @@
 
 func (fleet *fakeFleet) TrialRank(dragonflyhatch.PromptPart) int { return 0 }
 func (fleet *fakeFleet) ReportSuspects()                         {}
+func (fleet *fakeFleet) ReportRefusals()                         { fleet.refusalReports.Add(1) }
 
 func (fleet *fakeFleet) ReportLeaving(dragonflyhatch.Replica) { fleet.leavingReports.Add(1) }
 
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -103,7 +103,7 @@
 			stream.slotDenied = true
 			continue
 		}
-		if !stream.beginAttempt() {
+		if !stream.beginTrials(pipeline) || !stream.beginAttempt() {
 			continue
 		}
 		failure, culprits := stream.runAttempt(pipeline)
@@ -333,7 +333,7 @@
 	now := time.Now()
 	if replicaResponse.info.NotRun && isRefusalStatus(replicaResponse.status) {
 		if node := stream.nodeAt(pipeline, culprit); node != nil {
-			recordRefusal(now, node, replicaResponse.status)
+			stream.forwarder.recordRefusal(now, node, replicaResponse.status)
 		}
 		return &dragonflyhatch.Failure{
 			Kind:   dragonflyhatch.KindUpstreamUnavailable,
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -141,7 +141,7 @@
 	if !watch.dataReceived {
 		watch.dataReceived = true
 		for _, node := range watch.pipeline.Nodes {
-			node.RecordAccepted()
+			watch.stream.forwarder.recordTaken(now, watch.lastProgress, node)
 		}
 		watch.firstEvent()
 		watch.pipeline.Nodes[0].RecordFirstEvent(now, now.Sub(watch.lastProgress))
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -57,6 +57,8 @@
 	tableLoaded       chan struct{} // closed when the first table is in force
 	peerContact       chan struct{} // closed at the first gossip from a peer
 	firstContact      sync.Once
+	refusalPushMu     sync.Mutex // guards refusalPushes
+	refusalPushes     hatchpath.Allowance
 	pushRequests      chan struct{} // holds an item while a push to peers is due
 	serverFailed      chan error    // holds the error of the first server that failed
 
@@ -68,6 +70,7 @@
 	reports         unreachableReports
 	freshness       *hatchmember.Freshness // of what is known of the store
 	leader          leadership
+	refusals        refusalWatch
 
 	earliestRead     time.Time // the store is not read for the first configuration before this time
 	earliestRebuild  time.Time // the view is not rebuilt before this time
@@ -127,6 +130,9 @@
 		timeOfDay: time.Now,
 		replicas:  newReplicaSet(),
 		reports:   make(unreachableReports),
+		refusals:  newRefusalWatch(registry),
+
+		refusalPushes: hatchpath.Allowance{Interval: refusalPushInterval, Burst: refusalPushBurst},
 
 		peerVersions: make(map[string]uint64),
 	}
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -159,6 +159,7 @@
 	gossip.QueueWaits = gateway.View().QueueWaits(now, maxWaitsSent)
 	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
 	gossip.ReplicaLimits = gateway.View().Limits(now, maxLimitsSent)
+	gossip.RefusingReplicas = gateway.composeRefusals(now)
 	gossip.SuspectParts = gateway.quarantine.Snapshot(now, maxSuspectsSent)
 	return gossip
 }
@@ -178,6 +179,7 @@
 	toCall := gateway.mergeState(gossip, now)
 	gateway.recordQueueWaits(now, gossip.QueueWaits)
 	gateway.forwarder.MergeSuspects(gossip.SuspectParts)
+	gateway.mergeRefusals(now, gossip.RefusingReplicas)
 	gateway.firstContact.Do(func() { close(gateway.peerContact) })
 	leavingFound := false
 	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
--- a/hatchgateway/gossip_test.go
+++ b/hatchgateway/gossip_test.go
@@ -57,6 +57,24 @@
 			convey.So(sent[0].Wait, convey.ShouldEqual, 750*time.Millisecond)
 			convey.So(sent[0].Age, convey.ShouldBeBetween, 100*time.Millisecond, time.Second)
 		})
+		convey.Convey("An engine that refuses all requests of a peer is avoided and reported here, until it takes one", func() {
+			refusals := dragonflyhatch.ReplicaRefusals{Process: engines[0].Process(), Refusals: 3, First: time.Second, Latest: 500 * time.Millisecond, Accepted: -1}
+			peer.RefusingReplicas = []dragonflyhatch.ReplicaRefusals{refusals}
+			gateway.ExchangeGossip(peer)
+			node, soon := gateway.View().NodeAt(engines[0].Address), time.Now().Add(300*time.Millisecond)
+			convey.So(node.IsRefusing(soon), convey.ShouldBeTrue)
+			gateway.mu.Lock()
+			sent := gateway.composeRefusals(soon)
+			gateway.mu.Unlock()
+			convey.So(sent, convey.ShouldHaveLength, 1)
+			convey.So(sent[0].Latest-refusals.Latest, convey.ShouldBeBetween, 250*time.Millisecond, 350*time.Millisecond)
+			convey.So(gateway.refusals.started.Count(), convey.ShouldEqual, 1)
+			convey.So(node.IsFull(soon.Add(2*time.Second)), convey.ShouldBeFalse) // its only daemon is the first by rank
+			peer.RefusingReplicas[0] = dragonflyhatch.ReplicaRefusals{Process: engines[0].Process(), Accepted: 10 * time.Millisecond}
+			convey.So(gateway.ExchangeGossip(peer).RefusingReplicas, convey.ShouldHaveLength, 1) // the news goes on
+			convey.So(node.IsRefusing(soon), convey.ShouldBeFalse)
+			convey.So(gateway.refusals.ended.Count(), convey.ShouldEqual, 1)
+		})
 		convey.Convey("More waits and leaving processes than a message may have are not all taken", func() {
 			for range 10 * maxLeavingSent {
 				peer.LeavingReplicas = append(peer.LeavingReplicas, dragonflyhatch.ReplicaProcess{ID: "unknown", Started: int64(len(peer.LeavingReplicas))})
