--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -26,6 +26,9 @@
 	attempts           metrics.Counter // connections opened for attempts
 	reuses             metrics.Counter // requests sent on kept connections
 	probes             metrics.Counter // connections opened by probes
+	refusedAttempts    metrics.Counter // for lack of capacity
+	refusedKnown       metrics.Counter // those of replicas that were treated as refusing
+	refusalTrials      metrics.Counter
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -53,6 +56,9 @@
 		attempts:           metrics.GetOrRegisterCounter("connections.attempt", registry),
 		reuses:             metrics.GetOrRegisterCounter("connections.reuse", registry),
 		probes:             metrics.GetOrRegisterCounter("connections.probe", registry),
+		refusedAttempts:    metrics.GetOrRegisterCounter("refusals.attempts", registry),
+		refusedKnown:       metrics.GetOrRegisterCounter("refusals.attemptsKnown", registry),
+		refusalTrials:      metrics.GetOrRegisterCounter("refusals.trials", registry),
 	}
 }
 
--- a/hatchforward/watch.go
+++ b/hatchforward/watch.go
@@ -123,7 +123,7 @@
 	if !watch.dataReceived {
 		watch.dataReceived = true
 		for _, node := range watch.pipeline.Nodes {
-			node.RecordAccepted()
+			watch.stream.forwarder.recordTaken(now, watch.lastProgress, node)
 		}
 		watch.firstEvent()
 		watch.pipeline.Nodes[0].RecordFirstEvent(now, now.Sub(watch.lastProgress))
@@ -191,12 +191,23 @@
 		watch.abandon("silent for "+silent.Round(time.Millisecond).String(), nil)
 	case !watch.writing:
 		watch.timer.Reset(min(max(next, minRecheckDelay), repeatCheckDelay))
-		if silent > reportRequestSilence {
+		if silent > reportRequestSilence && !watch.isQueued() {
 			watch.stream.forwarder.requestReports(watch.pipeline.Nodes)
 		}
 	}
 }
 
+// isQueued reports whether the stream waits for its first event at a head that is known to
+// have a queue. Its silence then says nothing about the speed of the engines, and in an
+// overload all daemons would ask all of them. watch.mu must be held.
+func (watch *watch) isQueued() bool {
+	if watch.dataReceived {
+		return false
+	}
+	wait, _, ok := watch.pipeline.Nodes[0].LatestQueueWait(time.Now())
+	return ok && wait > 0
+}
+
 // prepareMove reports whether the silent stream can be moved off its pipeline although
 // the replicas are alive: there must be another pipeline and a retry token, which
 // prepareMove spends. Otherwise the stream is better off where it is, since it may only
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -162,6 +162,7 @@
 	gossip.QueueWaits = gateway.View().QueueWaits(now, maxWaitsSent)
 	gossip.LeavingReplicas = gateway.View().LeavingProcesses(maxLeavingSent)
 	gossip.ReplicaLimits = gateway.View().Limits(now, maxLimitsSent)
+	gossip.RefusingReplicas = gateway.composeRefusals(now)
 	gossip.SuspectParts = gateway.quarantine.Snapshot(now, maxSuspectsSent)
 	gossip.Demand = gateway.forwarder.Demand(now)
 	return gossip
@@ -186,6 +187,7 @@
 	gateway.recordQueueWaits(now, gossip.QueueWaits)
 	gateway.mergeEngineUsage(now, gossip.EngineUsage, gossip.From.Host)
 	gateway.forwarder.MergeSuspects(gossip.SuspectParts)
+	gateway.mergeRefusals(now, gossip.RefusingReplicas)
 	gateway.firstContact.Do(func() { close(gateway.peerContact) })
 	leavingFound := false
 	for _, process := range gossip.LeavingReplicas[:min(len(gossip.LeavingReplicas), maxLeavingSent)] {
