--- a/fleet.go
+++ b/fleet.go
@@ -29,7 +29,6 @@
 	ReplicaLimits      []ReplicaLimit   // limits that replicas have named, or ended, lately
 	SuspectParts       []SuspectPart    // parts of prompts suspected of terminating replicas
 	RefusingReplicas   []ReplicaRefusals
-	EngineUsage        []EngineUsage
 	Demand             []ServiceDemand // of services whose routes have different priorities
 	RoutingVersion     uint64
 	ReplicasVersion    uint64
@@ -100,13 +99,6 @@
 	Accepted time.Duration // since the replica last took a request; negative if that is not known
 }
 
-// EngineUsage is the share of an engine's KV memory that it reported as in use.
-type EngineUsage struct {
-	Process ReplicaProcess
-	Share   float64       // 0 to 1
-	Age     time.Duration // since it was reported
-}
-
 // ServiceDemand is the work that callers ask of one daemon for a service, averaged over
 // the daemons. Work is in tokens: those of the prompt, and those of the expected answer
 // weighted by what they cost relative to a token of the prompt.
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -86,8 +86,6 @@
 	longestLeft map[string]time.Duration  // longest time left of a new request, by route
 	runTimes    map[string]time.Duration  // mean time of a stream from its first event to its end, by service
 	tokenTimes  map[string]tokenTime      // of streams, by service
-	answerMeans map[string]float64        // mean tokens of the answers of streams, by route; at most maxAnswerMeans
-	avoided     avoidedStreams
 
 	ranked *rankedAdmissions
 }
@@ -138,7 +136,6 @@
 		budgets:      make(map[string]*serviceBudget),
 		longestLeft:  make(map[string]time.Duration),
 		runTimes:     make(map[string]time.Duration),
-		answerMeans:  make(map[string]float64),
 		tokenTimes:   make(map[string]tokenTime),
 		pipelineWait: defaultPipelineWait,
 		memory:       newBodyMemory(defaultBodyMemory),
@@ -327,14 +324,13 @@
 // attempts.
 func (call *call) query(attempts *hatchretry.Attempts) hatchpath.Query {
 	return hatchpath.Query{
-		Service:  call.service.Name,
-		Site:     call.forwarder.site,
-		Tokens:   call.info.PromptTokens + call.info.OutputTokens,
-		Expected: call.expectedTokens(),
-		Exclude:  attempts.Excluded(),
-		Resumed:  call.info.ResumeAfter != "" || attempts.Count() > 0,
-		Daemons:  call.forwarder.fleet.Daemons(),
-		Random:   call.forwarder.random,
+		Service: call.service.Name,
+		Site:    call.forwarder.site,
+		Tokens:  call.info.PromptTokens + call.info.OutputTokens,
+		Exclude: attempts.Excluded(),
+		Resumed: call.info.ResumeAfter != "" || attempts.Count() > 0,
+		Daemons: call.forwarder.fleet.Daemons(),
+		Random:  call.forwarder.random,
 	}
 }
 
--- a/hatchforward/metrics.go
+++ b/hatchforward/metrics.go
@@ -21,14 +21,12 @@
 	trials      metrics.Counter
 	slotsDenied metrics.Counter
 
-	fullEnginesAvoided metrics.Counter
-	fullEnginesUsed    metrics.Counter
-	attempts           metrics.Counter // connections opened for attempts
-	reuses             metrics.Counter // requests sent on kept connections
-	probes             metrics.Counter // connections opened by probes
-	refusedAttempts    metrics.Counter // for lack of capacity
-	refusedKnown       metrics.Counter // those of replicas that were treated as refusing
-	refusalTrials      metrics.Counter
+	attempts        metrics.Counter // connections opened for attempts
+	reuses          metrics.Counter // requests sent on kept connections
+	probes          metrics.Counter // connections opened by probes
+	refusedAttempts metrics.Counter // for lack of capacity
+	refusedKnown    metrics.Counter // those of replicas that were treated as refusing
+	refusalTrials   metrics.Counter
 }
 
 // WithMetrics counts requests, retries and resumed streams in the registry.
@@ -51,14 +49,12 @@
 		trials:      metrics.GetOrRegisterCounter("quarantine.trials", registry),
 		slotsDenied: metrics.GetOrRegisterCounter("limits.slotsDenied", registry),
 
-		fullEnginesAvoided: metrics.GetOrRegisterCounter("memory.streamsKeptAway", registry),
-		fullEnginesUsed:    metrics.GetOrRegisterCounter("memory.streamsAtFull", registry),
-		attempts:           metrics.GetOrRegisterCounter("connections.attempt", registry),
-		reuses:             metrics.GetOrRegisterCounter("connections.reuse", registry),
-		probes:             metrics.GetOrRegisterCounter("connections.probe", registry),
-		refusedAttempts:    metrics.GetOrRegisterCounter("refusals.attempts", registry),
-		refusedKnown:       metrics.GetOrRegisterCounter("refusals.attemptsKnown", registry),
-		refusalTrials:      metrics.GetOrRegisterCounter("refusals.trials", registry),
+		attempts:        metrics.GetOrRegisterCounter("connections.attempt", registry),
+		reuses:          metrics.GetOrRegisterCounter("connections.reuse", registry),
+		probes:          metrics.GetOrRegisterCounter("connections.probe", registry),
+		refusedAttempts: metrics.GetOrRegisterCounter("refusals.attempts", registry),
+		refusedKnown:    metrics.GetOrRegisterCounter("refusals.attemptsKnown", registry),
+		refusalTrials:   metrics.GetOrRegisterCounter("refusals.trials", registry),
 	}
 }
 
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -45,7 +45,6 @@
 	flusher     http.Flusher
 	prepaid     bool // the watch has spent the retry token of the next attempt
 	events      int  // reads with events of the latest attempt
-	tokens      int  // forwarded to the caller in all attempts
 	fruitless   int  // consecutive failed attempts that did not answer the request
 	trial       bool // the attempt is a trial of a suspected part
 
@@ -255,10 +254,8 @@
 func (stream *stream) runAttempt(pipeline *hatchpath.Pipeline) (*dragonflyhatch.Failure, []string) {
 	ctx, cancel := context.WithCancel(stream.ctx)
 	defer cancel()
-	begun := time.Now()
-	stream.recordMemory(begun, pipeline)
-	pipeline.Begin(begun)
-	defer func() { pipeline.End(time.Now()) }()
+	pipeline.Begin()
+	defer pipeline.End()
 	watch := stream.newWatch(pipeline, cancel)
 	defer watch.stop()
 	stream.events = 0
@@ -288,9 +285,6 @@
 		if err == nil {
 			stream.forwarder.recordRunTime(stream.service.Name, time.Since(started))
 			stream.forwarder.recordTokenTime(stream.service.Name, stream.info.OutputTokens, time.Since(stream.started))
-			if stream.info.ResumeAfter == "" { // otherwise an earlier request had a part of the answer
-				stream.forwarder.recordAnswerLength(stream.route.Name, stream.tokens)
-			}
 		}
 		switch {
 		case errors.Is(err, errCallerDisconnected):
@@ -485,7 +479,6 @@
 	if _, err := stream.writer.Write(events); err != nil {
 		return errCallerDisconnected
 	}
-	stream.tokens += countDataLines(events)
 	if stream.flusher != nil {
 		stream.flusher.Flush()
 	}
--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -121,7 +121,6 @@
 	gateway.mu.Lock()
 	message := gateway.composeGossip(gateway.membersDiffer, gateway.peerVersions[address])
 	gateway.mu.Unlock()
-	message.EngineUsage = gateway.View().EngineUsage(time.Now(), maxUsageSent, nil)
 	reply, err := gateway.peers.Gossip(ctx, address, message)
 	if err != nil {
 		gateway.mu.Lock()
@@ -140,8 +139,8 @@
 
 // composeGossip returns the gossip message to a peer. If membersDiffer is set, that
 // is, if the peer may know other members than this daemon, it includes random ones. It
-// leaves out the changes of replicas up to the version that the peer is known to have, and
-// the KV memory of engines. The mutex must be held.
+// leaves out the changes of replicas up to the version that the peer is known to have.
+// The mutex must be held.
 func (gateway *Gateway) composeGossip(membersDiffer bool, peerVersion uint64) dragonflyhatch.Gossip {
 	now := time.Now()
 	gossip := dragonflyhatch.Gossip{
@@ -174,9 +173,7 @@
 	gateway.forwarder.MergeDemand(time.Now(), gossip.Demand)
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	reply := gateway.composeGossip(gossip.MembersDigest != gateway.roster.Digest(), gossip.ReplicasVersion)
-	reply.EngineUsage = gateway.View().EngineUsage(time.Now(), maxUsageSent, gossip.EngineUsage)
-	return reply
+	return gateway.composeGossip(gossip.MembersDigest != gateway.roster.Digest(), gossip.ReplicasVersion)
 }
 
 // mergeGossip merges a peer's gossip, calls the members that it suspects, rechecks
@@ -185,7 +182,6 @@
 	now := time.Now()
 	toCall := gateway.mergeState(gossip, now)
 	gateway.recordQueueWaits(now, gossip.QueueWaits)
-	gateway.mergeEngineUsage(now, gossip.EngineUsage, gossip.From.Host)
 	gateway.forwarder.MergeSuspects(gossip.SuspectParts)
 	gateway.mergeRefusals(now, gossip.RefusingReplicas)
 	gateway.firstContact.Do(func() { close(gateway.peerContact) })
--- a/hatchgateway/metrics.go
+++ b/hatchgateway/metrics.go
@@ -58,14 +58,6 @@
 			}
 			return 0
 		},
-		"memory.highEngines": func() int64 {
-			reported, _ := gateway.View().CountMemory(time.Now())
-			return int64(reported)
-		},
-		"memory.fullEngines": func() int64 {
-			_, full := gateway.View().CountMemory(time.Now())
-			return int64(full)
-		},
 		"configuration.version": func() int64 {
 			if table := gateway.Table(); table != nil {
 				return int64(table.Version)
--- a/hatchgateway/run.go
+++ b/hatchgateway/run.go
@@ -163,7 +163,6 @@
 		{Name: "pushes", Run: gateway.runPushes},
 		{Name: "election", Run: gateway.runElection},
 		{Name: "placement", Run: gateway.runPlacement, OnFailure: gateway.resign},
-		{Name: "memory reports", Run: gateway.runMemoryReports},
 		{Name: "polling", Run: gateway.runPolling},
 		{Name: "routing follower", Run: func(ctx context.Context) { gateway.runFollower(ctx, routingFollower{gateway}) }},
 		{Name: "replica follower", Run: func(ctx context.Context) { gateway.runFollower(ctx, replicaFollower{gateway}) }},
--- a/hatchpath/bench_test.go
+++ b/hatchpath/bench_test.go
@@ -37,25 +37,6 @@
 	}
 }
 
-// BenchmarkPipelineWithReports measures the choice of one pipeline while 48 engines, the most
-// that a gossip message names, report much of their KV memory as in use.
-func BenchmarkPipelineWithReports(b *testing.B) {
-	for _, engines := range []int{300, 3000} {
-		replicas, healths, now := largeFleet(engines), NewHealthSet(), time.Now()
-		for i := range 48 {
-			healths.Get(replicas[i*engines/48]).RecordMemory(now, now, 0.6+float64(i)/120)
-		}
-		view, request := NewView(replicas, testServices(80), healths), query()
-		b.Run(fmt.Sprint(engines), func(b *testing.B) {
-			for range b.N {
-				if _, err := view.Pipeline(now, request); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
-}
-
 // BenchmarkView measures the construction of a View, which is rebuilt at each change
 // of a registration.
 func BenchmarkView(b *testing.B) {
--- a/hatchpath/heads.go
+++ b/hatchpath/heads.go
@@ -91,7 +91,7 @@
 		if !node.isUsable(now) {
 			continue
 		}
-		streams := node.kvCapacity / float64(max(set.model.MeanTokens, 1))
+		streams := set.kvCapacity(node) / float64(max(set.model.MeanTokens, 1))
 		for layer := node.Held.First; layer < min(node.Held.End, len(layers)); layer++ {
 			layers[layer] += streams
 		}
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -64,10 +64,6 @@
 	failureRate       average // share of responses that are failures
 	load              atomic.Pointer[timedLoad]
 	limit             atomic.Pointer[timedLimit]
-
-	memory      atomic.Pointer[memoryReport]
-	sent        atomic.Pointer[sentTokens] // nil before the first request
-	memoryUntil *atomic.Int64              // that of the HealthSet, if it is in one
 }
 
 // timedSlowdown is the slowdown that an engine reported, and when.
@@ -511,8 +507,6 @@
 type HealthSet struct {
 	mu        sync.Mutex
 	byProcess map[dragonflyhatch.ReplicaProcess]*Health
-
-	memoryUntil atomic.Int64 // until when a report above reportedMemory of any process is recent
 }
 
 // NewHealthSet returns an empty set.
@@ -532,7 +526,7 @@
 	defer healths.mu.Unlock()
 	health, ok := healths.byProcess[process]
 	if !ok {
-		health = &Health{memoryUntil: &healths.memoryUntil}
+		health = new(Health)
 		healths.byProcess[process] = health
 	}
 	return health
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -13,8 +13,7 @@
 type Query struct {
 	Service      string
 	Site         string   // of this daemon
-	Tokens       int      // of the prompt and the longest answer that the caller allows
-	Expected     int      // tokens of the prompt and the expected answer
+	Tokens       int      // of prompt and answer together
 	Exclude      []string // addresses at which this request has already failed
 	AllowedHeads []string // addresses that may run the first stage; any if empty
 	Daemons      int      // number of daemons that send requests to the same engines, at least 1
@@ -32,27 +31,22 @@
 type Pipeline struct {
 	Stages []dragonflyhatch.Stage
 	Nodes  []*Node // one for each stage
-	Tokens int     // of the request, with the longest answer
+	Tokens int     // of the request
 
-	Expected   int     // tokens of the request, with the expected answer
-	Avoided    []*Node // engines of the sites compared whose KV memory is full
-	UsesFull   bool    // a stage's KV memory is full all the same, because no other pipeline was possible
-	avoidsFull bool    // the engines counted as not full when it was chosen
+	avoidsFull bool // the engines counted as not full when it was chosen
 }
 
-// Begin records at each engine that the request was sent at the given time.
-func (pipeline *Pipeline) Begin(now time.Time) {
+// Begin records at each engine that the request was sent.
+func (pipeline *Pipeline) Begin() {
 	for _, node := range pipeline.Nodes {
 		node.Begin(pipeline.Tokens)
-		node.recordSent(now, pipeline.Expected)
 	}
 }
 
-// End records at each engine that the request has ended at the given time.
-func (pipeline *Pipeline) End(now time.Time) {
+// End records at each engine that the request has ended.
+func (pipeline *Pipeline) End() {
 	for _, node := range pipeline.Nodes {
 		node.End(pipeline.Tokens)
-		node.recordSent(now, -pipeline.Expected)
 	}
 }
 
@@ -121,9 +115,7 @@
 // Pipeline returns a pipeline for the request, or a Failure of
 // KindUpstreamUnavailable. Engines that have recently refused a request for lack of
 // capacity are used only if no pipeline is possible without them, and those that want
-// no request then only for later stages, whose requests come from the head. Engines whose
-// KV memory is full are used only if no pipeline of any site or version is possible without
-// them.
+// no request then only for later stages, whose requests come from the head.
 func (view *View) Pipeline(now time.Time, query Query) (*Pipeline, error) {
 	set := view.engines[query.Service]
 	if set == nil {
@@ -158,25 +150,22 @@
 	return shortest
 }
 
-// choosePipeline returns a pipeline of the newest version for which there is one without
-// engines whose KV memory is full, or else the best one with them, or nil if there is none.
-// Of the cheapest covers of the sites it takes the one with the lowest sum of load cost,
-// slowdown and site penalty. Covers that span several sites are considered only if the
-// daemon's own site has none.
+// choosePipeline returns a pipeline of the newest version for which there is one, or
+// nil if there is none. Of the cheapest covers of the sites it takes the one with the
+// lowest sum of load cost, slowdown and site penalty. Covers that span several sites
+// are considered only if the daemon's own site has none.
 func (set *engineSet) choosePipeline(now time.Time, query Query, usable func(*Node) bool) *Pipeline {
-	var best *cover
-	var avoided []*Node
-	bestCost := math.Inf(1)
 	for _, version := range set.versions {
+		var best *cover
+		bestCost := math.Inf(1)
 		local := false // the daemon's own site has a pipeline
 		for _, site := range set.sites {
 			candidate := set.cover(now, set.bySite[site], version, query, usable)
 			if candidate == nil {
 				continue
 			}
-			avoided = append(avoided, candidate.avoided...)
-			local = local || site == query.Site && !candidate.usesFull
-			cost := set.loadCost(now, candidate, &query) + slowdownWeight*candidate.relativeSlowdown(now)
+			local = local || site == query.Site
+			cost := set.loadCost(now, candidate, query.Daemons) + slowdownWeight*candidate.relativeSlowdown(now)
 			if site != query.Site && !query.AnySite {
 				cost += remoteSitePenalty
 			}
@@ -188,28 +177,21 @@
 			}
 		}
 		if !local {
-			if candidate := set.cover(now, set.all, version, query, usable); candidate != nil && set.loadCost(now, candidate, &query)+multiSitePenalty < bestCost {
+			if candidate := set.cover(now, set.all, version, query, usable); candidate != nil && set.loadCost(now, candidate, query.Daemons)+multiSitePenalty < bestCost {
 				best = candidate
 			}
 		}
-		if best != nil && !best.usesFull {
-			break
+		if best != nil {
+			return best.pipeline(query.Tokens)
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	pipeline := best.pipeline(query)
-	pipeline.Avoided = avoided
-	return pipeline
+	return nil
 }
 
 // cover is a list of stages that run each layer once and in order, and their cost.
 type cover struct {
-	cost     float64
-	stages   []coverStage
-	avoided  []*Node // engines of the version whose KV memory is full
-	usesFull bool    // the KV memory of a stage is full
+	cost   float64
+	stages []coverStage
 }
 
 // coverStage is one stage of a cover, with its share of the cost.
@@ -219,8 +201,8 @@
 	cost   float64
 }
 
-func (cover *cover) pipeline(query Query) *Pipeline {
-	pipeline := &Pipeline{Tokens: query.Tokens, Expected: query.Expected, UsesFull: cover.usesFull}
+func (cover *cover) pipeline(tokens int) *Pipeline {
+	pipeline := &Pipeline{Tokens: tokens}
 	for _, stage := range cover.stages {
 		pipeline.Nodes = append(pipeline.Nodes, stage.node)
 		pipeline.Stages = append(pipeline.Stages, dragonflyhatch.Stage{
@@ -259,33 +241,14 @@
 	boundary := make([]bool, layers+1)
 	boundary[0], boundary[layers] = true, true
 	jitter := set.jitter(nodes)
-	reportsRecent := set.healths.memoryUntil.Load() > monotonicNanos(now)
-	var full []*Node
 	for _, node := range nodes {
 		if node.Held.Version != version || node.Held.First >= layers || !usable(node) {
 			continue
 		}
 		candidate := span{node: node, LayerRange: node.Held.LayerRange}
 		candidate.End = min(candidate.End, layers)
-		kvCapacity := node.kvCapacity
-		utilization := nodeUtilization(node, query.Daemons, kvCapacity)
-		factor := 1.0
-		if reportsRecent {
-			share := reportedMemory // that of an engine which the leader does not name is lower
-			isFull := false
-			if report := node.recentMemory(now); report != nil {
-				share = node.reportedUtilization(now, kvCapacity)
-				isFull = now.Sub(report.at) <= fullMemoryMaxAge && query.isFullWith(share, kvCapacity)
-			}
-			utilization = max(utilization, share)
-			factor = set.spreadFactor(share, &query, kvCapacity)
-			if isFull {
-				factor *= fullMemoryPenalty
-				full = append(full, node)
-			}
-		}
-		candidate.costPerLayer = set.layerCost(node) * node.Slowdown(now) * (1 + utilizationWeight*utilization) * factor
-		if jitter > 0 && !reportsRecent { // the factor is random too
+		candidate.costPerLayer = set.layerCost(node) * node.Slowdown(now) * (1 + utilizationWeight*set.nodeUtilization(node, query.Daemons))
+		if jitter > 0 {
 			candidate.costPerLayer *= 1 + jitter*query.Random.Float64()
 		}
 		if node.isTrialDue(now) {
@@ -314,12 +277,7 @@
 			set.extend(steps, boundary, at, &spans[i], startCost)
 		}
 	}
-	found := traceCover(steps, layers)
-	if found != nil && full != nil {
-		found.avoided = full
-		found.usesFull = slices.ContainsFunc(found.stages, func(stage coverStage) bool { return slices.Contains(full, stage.node) })
-	}
-	return found
+	return traceCover(steps, layers)
 }
 
 // jitter returns the range of the random share by which the cost of each of the
@@ -399,9 +357,16 @@
 	return (accelerator.StepFactor + prefillWeight*accelerator.PrefillFactor) / float64(set.model.Layers)
 }
 
+// kvCapacity returns how many tokens fit in the engine's KV memory with the layers
+// that it holds.
+func (set *engineSet) kvCapacity(node *Node) float64 {
+	return KVCapacity(set.model, set.model.Accelerators[node.Accelerator], node.Held.LayerRange)
+}
+
 // nodeUtilization returns the share of the engine's KV memory that is in use. It is
 // estimated from the tokens of this daemon's requests, times the number of daemons.
-func nodeUtilization(node *Node, daemons int, kvCapacity float64) float64 {
+func (set *engineSet) nodeUtilization(node *Node, daemons int) float64 {
+	kvCapacity := set.kvCapacity(node)
 	if kvCapacity <= 0 {
 		return 0
 	}
@@ -409,37 +374,28 @@
 }
 
 // loadCost returns the utilization of the pipeline, plus the weighted time that a
-// stream of its head is expected to take to its first event, plus a penalty if the KV memory
-// of a stage is full.
-func (set *engineSet) loadCost(now time.Time, cover *cover, query *Query) float64 {
-	penalty := 0.0
-	if cover.usesFull {
-		penalty = fullMemoryPenalty
-	}
-	return penalty + set.utilization(now, cover, query) + firstEventWeight*max(cover.stages[0].node.FirstEventLatency(now), cover.stages[0].node.ExpectedWait(now)).Seconds()
+// stream of its head is expected to take to its first event.
+func (set *engineSet) loadCost(now time.Time, cover *cover, daemons int) float64 {
+	return set.utilization(now, cover, daemons) + firstEventWeight*max(cover.stages[0].node.FirstEventLatency(now), cover.stages[0].node.ExpectedWait(now)).Seconds()
 }
 
 // utilization returns the highest KV memory utilization among the stages. It is
 // computed from the head's recently reported load, which is assumed to be the load of
 // all stages. Without a recent report it is estimated from this daemon's requests,
-// assuming that each other daemon sends as many. It is no lower than what a stage has
-// reported of its KV memory.
-func (set *engineSet) utilization(now time.Time, cover *cover, query *Query) float64 {
-	highest, reported, minCapacity := 0.0, 0.0, math.Inf(1)
+// assuming that each other daemon sends as many.
+func (set *engineSet) utilization(now time.Time, cover *cover, daemons int) float64 {
+	highest, minCapacity := 0.0, math.Inf(1)
 	for _, stage := range cover.stages {
-		kvCapacity := stage.node.kvCapacity
-		highest = max(highest, nodeUtilization(stage.node, query.Daemons, kvCapacity))
-		reported = max(reported, stage.node.reportedUtilization(now, kvCapacity))
-		if kvCapacity > 0 {
+		highest = max(highest, set.nodeUtilization(stage.node, daemons))
+		if kvCapacity := set.kvCapacity(stage.node); kvCapacity > 0 {
 			minCapacity = min(minCapacity, kvCapacity)
 		}
 	}
-	reported = blurMemory(reported, query.Random)
 	head := cover.stages[0].node.load.Load()
 	if head == nil || now.Sub(head.at) > headLoadMaxAge {
-		return max(highest, reported)
+		return highest
 	}
-	return max(float64((head.Running+head.Waiting)*set.model.MeanTokens)/minCapacity, reported)
+	return float64((head.Running+head.Waiting)*set.model.MeanTokens) / minCapacity
 }
 
 // StreamCapacity returns how many streams of mean length fit in the KV memory of the
--- a/hatchpath/pipeline_test.go
+++ b/hatchpath/pipeline_test.go
@@ -100,11 +100,11 @@
 			pipeline, err := view.Pipeline(start, query())
 			convey.So(err, convey.ShouldBeNil)
 			pipeline.Tokens = 300000
-			pipeline.Begin(start)
+			pipeline.Begin()
 			other, err := view.Pipeline(start, query())
 			convey.So(err, convey.ShouldBeNil)
 			convey.So(other.Nodes[0].ID, convey.ShouldEqual, "b1")
-			pipeline.End(start)
+			pipeline.End()
 			again, err := view.Pipeline(start, query())
 			convey.So(err, convey.ShouldBeNil)
 			convey.So(again.Nodes[0].ID, convey.ShouldEqual, "a1")
--- a/hatchpath/view.go
+++ b/hatchpath/view.go
@@ -13,10 +13,6 @@
 type Node struct {
 	dragonflyhatch.Replica
 	*Health
-
-	// kvCapacity is how many tokens fit in the engine's KV memory with the layers that it
-	// holds. It is computed once for each view, as each choice uses it for all engines.
-	kvCapacity float64
 }
 
 // View is an immutable index of the registered replicas.
@@ -35,9 +31,6 @@
 	bySite   map[string][]*Node
 	all      []*Node
 	versions []int // of the model's weights, newest first
-	healths  *HealthSet
-
-	meanCapacity float64 // mean of the engines
 }
 
 // NewView returns a View of the replicas, without those whose address another one has
@@ -65,7 +58,7 @@
 	}
 	for name, nodes := range view.byService {
 		if model := services[name].Model; model != nil {
-			view.engines[name] = newEngineSet(model, nodes, healths)
+			view.engines[name] = newEngineSet(model, nodes)
 		}
 	}
 	return view
@@ -91,8 +84,8 @@
 	})
 }
 
-func newEngineSet(model *dragonflyhatch.EngineModel, nodes []*Node, healths *HealthSet) *engineSet {
-	set := &engineSet{model: model, healths: healths, bySite: make(map[string][]*Node)}
+func newEngineSet(model *dragonflyhatch.EngineModel, nodes []*Node) *engineSet {
+	set := &engineSet{model: model, bySite: make(map[string][]*Node)}
 	for _, node := range nodes {
 		if node.Held.End == 0 {
 			continue
@@ -102,8 +95,6 @@
 		}
 		set.bySite[node.Site] = append(set.bySite[node.Site], node)
 		set.all = append(set.all, node)
-		node.kvCapacity = KVCapacity(model, model.Accelerators[node.Accelerator], node.Held.LayerRange)
-		set.meanCapacity += (node.kvCapacity - set.meanCapacity) / float64(len(set.all))
 		if !slices.Contains(set.versions, node.Held.Version) {
 			set.versions = append(set.versions, node.Held.Version)
 		}
--- a/hatchpeer/load.go
+++ b/hatchpeer/load.go
@@ -6,9 +6,6 @@
 	"dragonflyhatch"
 )
 
-// permille converts a share to the unit of the message.
-const permille = 1000
-
 // encodeLoad adds to the message what the gossip says of the load on the replicas.
 func encodeLoad(message *GossipMessage, gossip dragonflyhatch.Gossip) {
 	for _, refusals := range gossip.RefusingReplicas {
@@ -18,11 +15,6 @@
 			AcceptedAgeMs: encodeAge(refusals.Accepted),
 		})
 	}
-	for _, usage := range gossip.EngineUsage {
-		message.EngineUsage = append(message.EngineUsage, &EngineUsage{
-			Process: encodeProcess(usage.Process), Permille: uint32(usage.Share * permille), AgeMs: uint32(usage.Age.Milliseconds()),
-		})
-	}
 	for _, demand := range gossip.Demand {
 		encoded := &ServiceDemand{Service: demand.Service, RunTimeMs: uint32(demand.RunTime.Milliseconds())}
 		for _, work := range demand.Ranks {
@@ -45,12 +37,6 @@
 			Accepted: decodeAge(refusals.AcceptedAgeMs),
 		})
 	}
-	for _, usage := range message.GetEngineUsage() {
-		gossip.EngineUsage = append(gossip.EngineUsage, dragonflyhatch.EngineUsage{
-			Process: decodeProcess(usage.GetProcess()), Share: float64(usage.GetPermille()) / permille,
-			Age: time.Duration(usage.GetAgeMs()) * time.Millisecond,
-		})
-	}
 	for _, demand := range message.GetDemand() {
 		decoded := dragonflyhatch.ServiceDemand{Service: demand.GetService(), RunTime: time.Duration(demand.GetRunTimeMs()) * time.Millisecond}
 		for _, work := range demand.GetRanks() {
--- a/hatchpeer/load_test.go
+++ b/hatchpeer/load_test.go
@@ -22,7 +22,6 @@
 			{Process: process, Refusals: 4, First: 2 * time.Second, Latest: 20 * time.Millisecond, Accepted: -1},
 			{Process: process, Refusals: 1, First: time.Second, Latest: time.Second, Accepted: 0},
 		},
-		EngineUsage: []dragonflyhatch.EngineUsage{{Process: process, Share: 0.75, Age: time.Second}},
 		Demand: []dragonflyhatch.ServiceDemand{{
 			Service: "lm", Ranks: []float64{120.5, 0, 7}, RunTime: 3 * time.Second,
 			Organisations: []dragonflyhatch.OrganisationDemand{{Name: "acme", Work: 12}},
