hatchlimit: keep organisations until their requests are counted

Cause: an organisation was forgotten while its mean and the known part of its own work were below one token a second. A request becomes part of the mean over 600 ms, so that at a daemon that is updated every millisecond, or where requests carry no token counts, each update removed the request recorded before it. The organisation then had no share and its fair share did not apply.

Change: an organisation is forgotten only if it has also had no request for organisationWindow.

Ruled out: comparing the own rate instead of its known part, as requests without token counts add 0.125 tokens a second each.

--- a/hatchlimit/demand.go
+++ b/hatchlimit/demand.go
@@ -31,7 +31,7 @@
 	// usualOrganisations is the number that is sent while there is room for all.
 	usualOrganisations = 8
 	// negligibleWork is the work, in tokens a second, below which an organisation is
-	// forgotten.
+	// forgotten that has had no request for organisationWindow.
 	negligibleWork = 1.0
 	// maxWork bounds the work, in tokens a second, that a message can add.
 	maxWork = 1e9
@@ -74,6 +74,7 @@
 	own   decayingRate
 	known float64 // own rate as far as it is part of the mean
 	mean  float64
+	added time.Time // when this daemon last recorded a request
 }
 
 func newMeanRate(window time.Duration) *meanRate {
@@ -105,7 +106,9 @@
 	if organisation == "" {
 		return
 	}
-	demand.organisation(organisation).own.add(now, work)
+	rate := demand.organisation(organisation)
+	rate.own.add(now, work)
+	rate.added = now
 }
 
 func (demand *Demand) organisation(name string) *meanRate {
@@ -130,7 +133,9 @@
 	}
 	for name, rate := range demand.organisations {
 		rate.update(now, part, leak)
-		if math.Abs(rate.mean) < negligibleWork && rate.known < negligibleWork {
+		// A request becomes part of the mean over spreadTime: until then its organisation
+		// looks negligible at a daemon that is updated often.
+		if math.Abs(rate.mean) < negligibleWork && rate.known < negligibleWork && now.Sub(rate.added) > organisationWindow {
 			delete(demand.organisations, name)
 		}
 	}
