hatchlimit: bound the organisations kept and the cost of a decision

Cause: each message of a peer could add 24 organisations, which were forgotten only after minutes: 200 messages with names that do not exist left 4,800. A decision while room is short compares the organisations with the most work and sorted all of them for it, the names included: 158 microseconds with 300 organisations.

Change: names from peers are added only while fewer than 1,000 are known, three times the design scale; own requests are always counted. The most demanding 24 are selected without sorting the others.

Ruled out: dropping the organisation with the least work to make room, as odd messages would then displace the real ones.

Run: TestOddDemand failed before with 4,800 organisations.

--- a/hatchlimit/demand.go
+++ b/hatchlimit/demand.go
@@ -25,9 +25,12 @@
 	// organisationWindow is the time constant of the demand of an organisation. A daemon has
 	// few requests of each, so that a shorter one would take a single request for a burst.
 	organisationWindow = 8 * time.Second
-	// maxOrganisations bounds the organisations whose demand is kept and sent. Others
+	// maxOrganisations bounds the organisations whose demand is compared and sent. Others
 	// ask for less than these, so that their share is known well enough.
 	maxOrganisations = 24
+	// maxKnownOrganisations bounds the organisations that are kept because peers have named
+	// them. A message of names that do not exist would otherwise take memory for minutes.
+	maxKnownOrganisations = 1000
 	// usualOrganisations is the number that is sent while there is room for all.
 	usualOrganisations = 8
 	// negligibleWork is the work, in tokens a second, below which an organisation is
@@ -163,14 +166,26 @@
 // Organisations returns the organisations with the highest average work, the highest
 // first.
 func (demand *Demand) Organisations() []dragonflyhatch.OrganisationDemand {
-	var organisations []dragonflyhatch.OrganisationDemand
+	organisations := make([]dragonflyhatch.OrganisationDemand, 0, maxOrganisations+1)
 	for name, rate := range demand.organisations {
-		organisations = append(organisations, dragonflyhatch.OrganisationDemand{Name: name, Work: rate.mean})
+		organisation := dragonflyhatch.OrganisationDemand{Name: name, Work: rate.mean}
+		if len(organisations) == maxOrganisations && compareWork(organisation, organisations[maxOrganisations-1]) > 0 {
+			continue
+		}
+		// A sort of 300 organisations at each decision takes more than 100 microseconds.
+		at, _ := slices.BinarySearchFunc(organisations, organisation, compareWork)
+		organisations = slices.Insert(organisations, at, organisation)
+		organisations = organisations[:min(len(organisations), maxOrganisations)]
 	}
-	slices.SortFunc(organisations, func(a, b dragonflyhatch.OrganisationDemand) int {
-		return cmp.Or(cmp.Compare(b.Work, a.Work), cmp.Compare(a.Name, b.Name))
-	})
-	return organisations[:min(len(organisations), maxOrganisations)]
+	return organisations
+}
+
+// compareWork orders organisations by work, the most first, and then by name.
+func compareWork(a, b dragonflyhatch.OrganisationDemand) int {
+	if order := cmp.Compare(b.Work, a.Work); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.Name, b.Name)
 }
 
 // Digest returns the averages for a peer, with more organisations while room is short.
@@ -240,6 +255,9 @@
 	}
 	listed := other.Organisations[:min(len(other.Organisations), maxOrganisations)]
 	for _, organisation := range listed {
+		if _, ok := demand.organisations[organisation.Name]; !ok && len(demand.organisations) >= maxKnownOrganisations {
+			continue
+		}
 		rate := demand.organisation(organisation.Name)
 		rate.shift(change(rate.mean, organisation.Work))
 	}
--- a/hatchlimit/ranked_test.go
+++ b/hatchlimit/ranked_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
+
+	"dragonflyhatch"
 )
 
 // TestFairLevel pins max-min fairness. It guards against small organisations that pay for
@@ -76,3 +79,64 @@
 		}
 	}
 }
+
+// TestOddDemand guards against peers' messages that make a daemon keep many thousand
+// organisations that do not exist.
+func TestOddDemand(t *testing.T) {
+	demand, now := NewDemand(2), time.Unix(1_000_000, 0)
+	for message := range 200 {
+		odd := dragonflyhatch.ServiceDemand{Ranks: []float64{math.NaN(), math.Inf(1)}}
+		for i := range 5000 {
+			odd.Organisations = append(odd.Organisations, dragonflyhatch.OrganisationDemand{Name: fmt.Sprint(message, "-", i), Work: 1e8})
+		}
+		now = now.Add(10 * time.Millisecond)
+		demand.Merge(now, odd)
+	}
+	if got := len(demand.organisations); got > maxKnownOrganisations {
+		t.Errorf("%d organisations are kept", got)
+	}
+	if got := fmt.Sprint(demand.Means()); got != "[0 0]" {
+		t.Errorf("means %s", got)
+	}
+}
+
+// TestOrganisationsOrder guards against a selection of organisations that misses one of
+// those with the most work, or depends on the order of a map.
+func TestOrganisationsOrder(t *testing.T) {
+	demand, now := NewDemand(2), time.Unix(1_000_000, 0)
+	for i := range 300 {
+		demand.organisation(fmt.Sprintf("o%03d", i)).mean = float64(10 + i/2)
+	}
+	demand.Update(now)
+	for i, organisation := range demand.Organisations() {
+		if want := fmt.Sprintf("o%03d", 298-i/2*2+i%2); organisation.Name != want {
+			t.Errorf("%d: got %s, want %s", i, organisation.Name, want)
+		}
+	}
+}
+
+const benchmarkRanks = 8
+
+// BenchmarkDecide measures a decision while room is short.
+func BenchmarkDecide(b *testing.B) {
+	for _, organisations := range []int{24, 300} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			admission, now := NewAdmission(benchmarkRanks), time.Unix(1_000_000, 0)
+			room := Room{Capacity: 100, Running: 90, Waiting: 20, RunTime: 2 * time.Second, Daemons: 1, Heads: 1}
+			decide := func(i int) {
+				now = now.Add(time.Millisecond)
+				admission.Decide(now, Request{
+					Rank: i % benchmarkRanks, Organisation: fmt.Sprint(i % organisations), Work: 2000, Target: time.Second,
+					Left: 20 * time.Second, Longest: 20 * time.Second,
+				}, room, func() float64 { return 0.5 })
+			}
+			for i := range 20_000 {
+				decide(i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				decide(i)
+			}
+		})
+	}
+}
