hatchlimit: admit urgent ranks while a queue is worked off

Cause: an organisation beyond twelve fair shares of the work that fits counts as least urgent. While a queue is worked off hardly anything fits, so that the fair share is near zero and every organisation is beyond the level, also the smallest. The rule overrides the rank: the most urgent requests were refused like the least urgent ones although the engines finish more work than they ask for and take them first.

Change: the level is that of at least one part in excessLevel of the demand. Organisations of equal size are then never beyond it, larger ones still are.

Ruled out: applying the rule to ranks other than those that are served, as it is meant to delay an organisation whose urgent demand jumps.

--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -275,7 +275,9 @@
 	}
 	shares := admission.shares(verdict.Demand)
 	verdict.Share = admission.shareOf(request.Organisation, verdict.Demand, shares)
-	if level := excessLevel * fairLevel(shares, verdict.Fits); verdict.Share > level && draw() > level/verdict.Share {
+	// With less room than one part in excessLevel, organisations of equal size would all be
+	// beyond the level, and the ranks would no longer count.
+	if level := excessLevel * fairLevel(shares, max(verdict.Fits, 1.0/excessLevel)); verdict.Share > level && draw() > level/verdict.Share {
 		verdict.Rule, verdict.RankFits = RuleExcess, fills[len(fills)-1]
 	}
 	verdict.FairShare = fairLevel(shares, verdict.RankFits)
--- a/hatchlimit/ranked_test.go
+++ b/hatchlimit/ranked_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -100,6 +101,36 @@
 	}
 }
 
+// TestUrgentWhileQueueIsWorkedOff guards against organisations that all count as beyond
+// their fair share when hardly anything fits: the most urgent rank, which the engines take
+// first, would then be refused like the least urgent one.
+func TestUrgentWhileQueueIsWorkedOff(t *testing.T) {
+	admission, now := NewAdmission(2), time.Unix(1_000_000, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	room := Room{Capacity: 100, Running: 90, Waiting: 60, RunTime: 4 * time.Second, Daemons: 1, Heads: 1}
+	asked, admitted := 0, 0
+	for i := range 4000 { // 50 a second, a fifth of them urgent
+		now = now.Add(20 * time.Millisecond)
+		request := Request{
+			Rank: 1, Organisation: fmt.Sprint(random.IntN(12)), Work: 2000, Left: 20 * time.Second, Longest: 20 * time.Second,
+			Target: 500 * time.Millisecond, Wait: 300 * time.Millisecond,
+		}
+		if i%5 == 0 {
+			request.Rank = 0
+		}
+		verdict := admission.Decide(now, request, room, random.Float64)
+		if request.Rank == 0 && i > 1000 {
+			asked++
+			if verdict.Admitted {
+				admitted++
+			}
+		}
+	}
+	if admitted < asked*9/10 {
+		t.Errorf("%d of %d urgent requests are admitted", admitted, asked)
+	}
+}
+
 // TestOrganisationsOrder guards against a selection of organisations that misses one of
 // those with the most work, or depends on the order of a map.
 func TestOrganisationsOrder(t *testing.T) {
