hatchlimit: bound the work of one request in the demand

Cause: the demand counted the tokens that a caller states, up to 2^30 of a prompt. One such request raised the demand of its rank at all daemons by orders of magnitude, and the time constant of 1.5 s removed it only after 9.5 s. Meanwhile the other requests of its organisation, and all requests without an organisation, were refused while there was room for them.

Change: a request counts as at most 50 times the mean work.

Ruled out: refusing such requests, as a long prompt is no fault of its caller; the first request of a daemon, whose work becomes the mean, which only leads to admitting more.

--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -62,6 +62,10 @@
 	maxFits = 1.2
 	// reportMaxAge is how long a report of a head is used.
 	reportMaxAge = 2 * time.Second
+	// maxCountedWork bounds the work of a request, relative to the mean. Callers may state up
+	// to 2^30 tokens: counted in full, one such request takes the room of all others for
+	// seconds.
+	maxCountedWork = 50.0
 	// workWeight is the weight of the latest request in the mean work.
 	workWeight = 0.02
 )
@@ -180,6 +184,9 @@
 // Decide records a new request and decides on it. The draw returns random numbers from 0
 // to 1.
 func (admission *Admission) Decide(now time.Time, request Request, room Room, draw func() float64) Verdict {
+	if admission.meanWork > 0 {
+		request.Work = min(request.Work, maxCountedWork*admission.meanWork)
+	}
 	admission.recordWork(request.Work)
 	if admission.shortestTarget == 0 || request.Target > 0 && request.Target < admission.shortestTarget {
 		admission.shortestTarget = request.Target
--- a/hatchlimit/ranked_test.go
+++ b/hatchlimit/ranked_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+// TestHugeRequest guards against one request that states an absurd number of tokens, after
+// which the requests of all others are refused for seconds.
+func TestHugeRequest(t *testing.T) {
+	daemons, now := []*Admission{NewAdmission(2), NewAdmission(2), NewAdmission(2), NewAdmission(2)}, time.Unix(1_000_000, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	room := Room{Capacity: 100, Running: 86, RunTime: 4 * time.Second, Daemons: len(daemons), Heads: 1}
+	refused := 0
+	for i := range 600 { // 20 a second, about as many as the engines finish
+		now = now.Add(50 * time.Millisecond)
+		daemon := random.IntN(len(daemons))
+		request := Request{Rank: 1, Organisation: "office", Work: 2000, Left: 20 * time.Second, Longest: 20 * time.Second, Target: time.Second}
+		if i == 300 {
+			request.Work = 1 << 30
+		}
+		if !daemons[daemon].Decide(now, request, room, random.Float64).Admitted {
+			refused++
+		}
+		peer := daemons[(daemon+1)%len(daemons)].Demand()
+		sent := daemons[daemon].Demand().Digest(now, true)
+		peer.Merge(now, sent)
+		daemons[daemon].Demand().Adopt(now, sent, peer.Digest(now, true))
+	}
+	if refused > 30 {
+		t.Errorf("%d of 600 requests are refused", refused)
+	}
+}
+
 // TestUrgentWhileQueueIsWorkedOff guards against organisations that all count as beyond
 // their fair share when hardly anything fits: the most urgent rank, which the engines take
 // first, would then be refused like the least urgent one.
