hatchforward: name a time to refused callers without a time left

Cause: the admission by rank takes Retry-After from the time that the caller has left. Callers that do not state it got zero, which the response raises to 250 ms: all of them returned together after a quarter of a second, while there was still no room, and used up their retry. The admission by wait uses the deadline of the call.

Change: such callers are told a time by the deadline, as before. No place is kept for them, since they are not recognised when they return.

Ruled out: taking the deadline as the time left in the decision, as a returning caller would show the full time again.

--- a/hatchforward/ranked.go
+++ b/hatchforward/ranked.go
@@ -118,6 +118,9 @@
 	if verdict.Admitted {
 		return nil
 	}
+	if request.Left <= 0 { // the caller does not say how long it waits
+		verdict.RetryAfter = hatchlimit.ReturnDelay(time.Until(stream.deadline), forwarder.random.Float64())
+	}
 	return &dragonflyhatch.Failure{
 		Kind: dragonflyhatch.KindOverloaded,
 		Detail: fmt.Sprintf("rank %d of %d, rule %s: %.2f of the work fits, %.2f of the rank's; share %.3f, fair %.3f; %.0f running and %.0f waiting of %.0f, reports up to %s old; place kept: %t",
--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -150,7 +150,7 @@
 	Share      float64       // of the organisation in the demand
 	FairShare  float64       // of an organisation in the demand, within the rank
 	Kept       bool          // a place is kept for a refused request when it returns
-	RetryAfter time.Duration // of a refused request
+	RetryAfter time.Duration // of a refused request; 0 if its time left is unknown
 }
 
 // Admission decides which new streams of a service are admitted when its engines have too
@@ -360,7 +360,8 @@
 // promise returns when a refused caller should return, and whether a place is kept for it.
 func (admission *Admission) promise(verdict Verdict, request Request, returned bool, draw func() float64) (bool, time.Duration) {
 	refused := 1 - verdict.Fits
-	kept := !returned && verdict.Rule != RuleExcess && draw()*refused < keptShare*verdict.RankFits
+	// Without a time left a returning caller is not recognised.
+	kept := !returned && request.Left > 0 && verdict.Rule != RuleExcess && draw()*refused < keptShare*verdict.RankFits
 	from, to := freeFrom, maxReturnShare
 	if kept {
 		from, to = minReturnShare, keptUntil
--- a/hatchlimit/ranked_test.go
+++ b/hatchlimit/ranked_test.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// TestPromiseWithoutTime guards against a place that is kept for a caller that cannot be
+// recognised when it returns, as it does not say how long it waits.
+func TestPromiseWithoutTime(t *testing.T) {
+	admission, now := NewAdmission(2), time.Unix(1_000_000, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	room := Room{Capacity: 100, Running: 90, Waiting: 90, RunTime: 4 * time.Second, Daemons: 1, Heads: 1}
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		if verdict := admission.Decide(now, Request{Work: 2000, Target: time.Second, Wait: time.Second}, room, random.Float64); verdict.Kept {
+			t.Fatal("a place is kept")
+		}
+	}
+}
+
 // TestUrgentWhileQueueIsWorkedOff guards against organisations that all count as beyond
 // their fair share when hardly anything fits: the most urgent rank, which the engines take
 // first, would then be refused like the least urgent one.
