hatchforward: drop the demand of services without ranks

Cause: the admission of a service stayed, and its demand was sent to all peers, after a configuration had removed the service or the priorities of its routes. A daemon that does not know the change yet adopts the answer of such a peer, whose demand only decays, and then admits too much. The first eight services of a message are merged, so that removed ones also take the place of others.

Change: Demand drops the admissions of services that have no ranks in the configuration in force.

Ruled out: dropping it when a configuration arrives, which needs another call from the gateway under its mutex.

Run: TestDemandOfRemovedRanks failed before ('[{lm [0 0] 4s []}] after the ranks were removed') and passes now.

--- a/hatchforward/ranked.go
+++ b/hatchforward/ranked.go
@@ -162,10 +162,17 @@
 
 // Demand returns what the callers of the services with ranks ask for, for peers.
 func (forwarder *Forwarder) Demand(now time.Time) []dragonflyhatch.ServiceDemand {
+	table := forwarder.fleet.Table()
 	forwarder.ranked.mu.Lock()
 	defer forwarder.ranked.mu.Unlock()
 	var demands []dragonflyhatch.ServiceDemand
 	for service, admission := range forwarder.ranked.byService {
+		if table != nil && table.Ranks(service) == 0 {
+			// The configuration has changed. A peer that has not yet received it would adopt
+			// a demand that no longer grows.
+			delete(forwarder.ranked.byService, service)
+			continue
+		}
 		demand := admission.Demand().Digest(now, now.Sub(admission.shortAt) < demandNewsTime)
 		demand.Service, demand.RunTime = service, forwarder.meanRunTime(service)
 		demands = append(demands, demand)
--- a/hatchforward/ranked_test.go
+++ b/hatchforward/ranked_test.go
@@ -50,3 +50,18 @@
 		t.Error("no stream was refused")
 	}
 }
+
+// TestDemandOfRemovedRanks guards against demand that a daemon sends for a service without
+// ranks: a peer with the previous configuration would adopt it and admit too much.
+func TestDemandOfRemovedRanks(t *testing.T) {
+	fleet, stream := newRankedFleet(t)
+	_, ranks := stream.rank()
+	stream.forwarder.ranked.get("lm", ranks)
+	if got := stream.forwarder.Demand(time.Now()); len(got) != 1 {
+		t.Fatalf("got %v, want the demand of one service", got)
+	}
+	fleet.table = hatchroute.NewTable(testRouting())
+	if got := stream.forwarder.Demand(time.Now()); len(got) != 0 {
+		t.Errorf("got %v after the ranks were removed", got)
+	}
+}
