--- a/hatchforward/ranked.go
+++ b/hatchforward/ranked.go
@@ -118,6 +118,9 @@
 	if verdict.Admitted {
 		return nil
 	}
+	if request.Left <= 0 { // the caller does not say how long it waits
+		verdict.RetryAfter = hatchlimit.ReturnDelay(time.Until(stream.deadline), forwarder.random.Float64())
+	}
 	return &dragonflyhatch.Failure{
 		Kind: dragonflyhatch.KindOverloaded,
 		Detail: fmt.Sprintf("rank %d of %d, rule %s: %.2f of the work fits, %.2f of the rank's; share %.3f, fair %.3f; %.0f running and %.0f waiting of %.0f, reports up to %s old; place kept: %t",
@@ -159,10 +162,17 @@
 
 // Demand returns what the callers of the services with ranks ask for, for peers.
 func (forwarder *Forwarder) Demand(now time.Time) []dragonflyhatch.ServiceDemand {
+	table := forwarder.fleet.Table()
 	forwarder.ranked.mu.Lock()
 	defer forwarder.ranked.mu.Unlock()
 	var demands []dragonflyhatch.ServiceDemand
 	for service, admission := range forwarder.ranked.byService {
+		if table != nil && table.Ranks(service) == 0 {
+			// The configuration has changed. A peer that has not yet received it would adopt
+			// a demand that no longer grows.
+			delete(forwarder.ranked.byService, service)
+			continue
+		}
 		demand := admission.Demand().Digest(now, now.Sub(admission.shortAt) < demandNewsTime)
 		demand.Service, demand.RunTime = service, forwarder.meanRunTime(service)
 		demands = append(demands, demand)
--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -62,6 +62,10 @@
 	maxFits = 1.2
 	// reportMaxAge is how long a report of a head is used.
 	reportMaxAge = 2 * time.Second
+	// maxCountedWork bounds the work of a request, relative to the mean. Callers may state up
+	// to 2^30 tokens: counted in full, one such request takes the room of all others for
+	// seconds.
+	maxCountedWork = 50.0
 	// workWeight is the weight of the latest request in the mean work.
 	workWeight = 0.02
 )
@@ -146,7 +150,7 @@
 	Share      float64       // of the organisation in the demand
 	FairShare  float64       // of an organisation in the demand, within the rank
 	Kept       bool          // a place is kept for a refused request when it returns
-	RetryAfter time.Duration // of a refused request
+	RetryAfter time.Duration // of a refused request; 0 if its time left is unknown
 }
 
 // Admission decides which new streams of a service are admitted when its engines have too
@@ -180,6 +184,9 @@
 // Decide records a new request and decides on it. The draw returns random numbers from 0
 // to 1.
 func (admission *Admission) Decide(now time.Time, request Request, room Room, draw func() float64) Verdict {
+	if admission.meanWork > 0 {
+		request.Work = min(request.Work, maxCountedWork*admission.meanWork)
+	}
 	admission.recordWork(request.Work)
 	if admission.shortestTarget == 0 || request.Target > 0 && request.Target < admission.shortestTarget {
 		admission.shortestTarget = request.Target
@@ -275,7 +282,9 @@
 	}
 	shares := admission.shares(verdict.Demand)
 	verdict.Share = admission.shareOf(request.Organisation, verdict.Demand, shares)
-	if level := excessLevel * fairLevel(shares, verdict.Fits); verdict.Share > level && draw() > level/verdict.Share {
+	// With less room than one part in excessLevel, organisations of equal size would all be
+	// beyond the level, and the ranks would no longer count.
+	if level := excessLevel * fairLevel(shares, max(verdict.Fits, 1.0/excessLevel)); verdict.Share > level && draw() > level/verdict.Share {
 		verdict.Rule, verdict.RankFits = RuleExcess, fills[len(fills)-1]
 	}
 	verdict.FairShare = fairLevel(shares, verdict.RankFits)
@@ -351,7 +360,8 @@
 // promise returns when a refused caller should return, and whether a place is kept for it.
 func (admission *Admission) promise(verdict Verdict, request Request, returned bool, draw func() float64) (bool, time.Duration) {
 	refused := 1 - verdict.Fits
-	kept := !returned && verdict.Rule != RuleExcess && draw()*refused < keptShare*verdict.RankFits
+	// Without a time left a returning caller is not recognised.
+	kept := !returned && request.Left > 0 && verdict.Rule != RuleExcess && draw()*refused < keptShare*verdict.RankFits
 	from, to := freeFrom, maxReturnShare
 	if kept {
 		from, to = minReturnShare, keptUntil
