Bound the count and age that a peer reports of refusals

Cause: a report with the largest count or age that fits the 32-bit fields of a message was merged as it was. The next refusal made the count 2^32, which is sent as 0, and the age wraps after some milliseconds. Peers then took the report as one without refusals while the process went on refusing. Change: NewRefusals and Refused bound the count by 2^20 and NewRefusals the ages by 24 h. Nothing but the presence of a count is used in decisions. Ruled out: the number of trials and the times derived from such an age do not overflow, and an exclusion still ends 10 s after the latest refusal. Run: TestOddReport failed ("Expected '' to be between '1' and ''"); go test ./hatchpath passes with the change.

--- a/hatchpath/refusals.go
+++ b/hatchpath/refusals.go
@@ -62,6 +62,10 @@
 	// seem younger with each peer that passes them on, so that those of a busy process
 	// otherwise outlive its acceptances.
 	firstReportTime = 250 * time.Millisecond
+	// maxRefusalCount and maxRefusalAge bound what a peer may report, so that a larger
+	// count or age does not overflow the 32 bits of the fields in messages.
+	maxRefusalCount = 1 << 20
+	maxRefusalAge   = 24 * time.Hour
 	// newRefusalsShare is the share of a message for the latest reports; the others take
 	// turns in the rest of it.
 	newRefusalsShare = 0.75
@@ -82,7 +86,11 @@
 func NewRefusals(now time.Time, report dragonflyhatch.ReplicaRefusals) Refusals {
 	var refusals Refusals
 	if report.Refusals > 0 && report.Latest >= 0 && report.First >= report.Latest {
-		refusals = Refusals{Count: report.Refusals, First: now.Add(-report.First), Latest: now.Add(-report.Latest)}
+		refusals = Refusals{
+			Count:  min(report.Refusals, maxRefusalCount),
+			First:  now.Add(-min(report.First, maxRefusalAge)),
+			Latest: now.Add(-min(report.Latest, maxRefusalAge)),
+		}
 	}
 	if report.Accepted >= 0 {
 		refusals.Accepted = now.Add(-report.Accepted)
@@ -107,7 +115,7 @@
 	if refusals.Count == 0 {
 		refusals.First, refusals.Latest = now, now
 	}
-	refusals.Count++
+	refusals.Count = min(refusals.Count+1, maxRefusalCount)
 	if now.After(refusals.Latest) {
 		refusals.Latest = now
 	}
--- a/hatchpath/refusals_test.go
+++ b/hatchpath/refusals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -301,3 +302,18 @@
 		})
 	})
 }
+
+// TestOddReport guards against a count or an age in one message that is so large that the
+// reports of this daemon, in fields of 32 bits, no longer mention the refusals.
+func TestOddReport(t *testing.T) {
+	convey.Convey("After the largest count and age, refusals are still reported", t, func() {
+		now, health := epoch.Add(time.Minute), new(Health)
+		health.MergeRefusals(now, dragonflyhatch.ReplicaRefusals{Refusals: math.MaxUint32, First: math.MaxUint32 * time.Millisecond, Accepted: -1})
+		now = now.Add(200 * time.Millisecond)
+		health.RecordRefusal(now)
+		convey.So(health.IsRefusing(now), convey.ShouldBeTrue)
+		report := health.refusalState.Load().Report(now, dragonflyhatch.ReplicaProcess{})
+		convey.So(report.Refusals, convey.ShouldBeBetween, 1, math.MaxUint32)
+		convey.So(report.First.Milliseconds(), convey.ShouldBeBetween, 200, math.MaxUint32)
+	})
+}
