Ignore reported refusals of processes that are not registered

Cause: mergeRefusals created the state of any process that a message named. 32 entries a message stayed in memory until the next change of registrations, which a quiet fleet or an outage of the store delays, and each unknown process was news that caused a push. Change: only processes in the view are looked up. Reports repeat while a process refuses, so one that registers later is learned from the next exchange. Ruled out: the 32-entry limit and the limit on pushes hold, but neither bounds the memory. Leaving processes and limits still create state: other parts. Run: TestGossipOfReplicas failed (a push was due) and passes with the change; go test ./hatchgateway passes.

--- a/hatchgateway/gossip_test.go
+++ b/hatchgateway/gossip_test.go
@@ -75,6 +75,21 @@
 			convey.So(node.IsRefusing(soon), convey.ShouldBeFalse)
 			convey.So(gateway.refusals.ended.Count(), convey.ShouldEqual, 1)
 		})
+		convey.Convey("Refusals of processes that are not registered here are neither kept nor sent on", func() {
+			restarted := engines[0].Process()
+			restarted.Started++
+			for number := range 5 {
+				unknown := dragonflyhatch.ReplicaProcess{ID: "unknown", Address: "127.0.0.1:9", Started: int64(number)}
+				for _, process := range []dragonflyhatch.ReplicaProcess{unknown, restarted} {
+					peer.RefusingReplicas = append(peer.RefusingReplicas, dragonflyhatch.ReplicaRefusals{Process: process, Refusals: 3, First: time.Second, Accepted: -1})
+				}
+			}
+			convey.So(gateway.ExchangeGossip(peer).RefusingReplicas, convey.ShouldBeEmpty)
+			convey.So(gateway.pushRequests, convey.ShouldBeEmpty)
+			for _, refusals := range peer.RefusingReplicas {
+				convey.So(gateway.healths.GetProcess(refusals.Process).IsRefusing(time.Now().Add(300*time.Millisecond)), convey.ShouldBeFalse)
+			}
+		})
 		convey.Convey("More waits and leaving processes than a message may have are not all taken", func() {
 			for range 10 * maxLeavingSent {
 				peer.LeavingReplicas = append(peer.LeavingReplicas, dragonflyhatch.ReplicaProcess{ID: "unknown", Started: int64(len(peer.LeavingReplicas))})
--- a/hatchgateway/refusals.go
+++ b/hatchgateway/refusals.go
@@ -54,17 +54,28 @@
 	}
 }
 
-// mergeRefusals merges what a peer reports of refusals.
+// mergeRefusals merges what a peer reports of the refusals of registered processes. Others
+// are not kept: peers repeat the reports, and a message may name processes that never existed.
 func (gateway *Gateway) mergeRefusals(now time.Time, reports []dragonflyhatch.ReplicaRefusals) {
-	news := false
+	view, news := gateway.View(), false
 	for _, report := range reports[:min(len(reports), maxRefusalsSent)] {
-		news = gateway.healths.GetProcess(report.Process).MergeRefusals(now, report) || news
+		if node := view.NodeAt(report.Process.Address); node != nil && node.Process() == report.Process {
+			news = node.MergeRefusals(now, report) || news
+		}
 	}
 	if news {
 		gateway.ReportRefusals()
 	}
 }
 
+// rankTrials determines the rank for trials that are due soon when there is no peer to
+// exchange gossip with. Without a rank a daemon tries last, after several seconds.
+func (gateway *Gateway) rankTrials() {
+	gateway.mu.Lock()
+	defer gateway.mu.Unlock()
+	gateway.composeRefusals(time.Now())
+}
+
 // composeRefusals returns what is reported to a peer of refusals. It also determines the
 // daemon's rank for trials that are due soon, and logs which processes start or stop being
 // treated as refusing. The mutex must be held.
