Rank a daemon without peers for trials of refusing replicas

Cause: the rank for the next trial was determined only when gossip was composed for a peer. A daemon that knows no peer kept no rank and counted as the last of 512: it tried a refusing replica 5 s after the latest refusal instead of 0.5 s, and 8.5 s after a fourth refused trial. Change: runGossip determines ranks and logs also when there is no peer. Ruled out: daemons whose peers are dead or cut off compose gossip for each failed exchange and thus have ranks. Run: TestTrialsWithoutPeers failed (still full 600 ms after the latest refusal) and passes with the change, also with -race; go test ./hatchgateway passes.

--- a/hatchgateway/gossip.go
+++ b/hatchgateway/gossip.go
@@ -49,8 +49,11 @@
 func (gateway *Gateway) runGossip(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
 		gateway.pause(ctx, gossipInterval)
-		if peer, ok := gateway.nextPeer(round); ok {
+		peer, ok := gateway.nextPeer(round)
+		if ok {
 			gateway.gossipWith(ctx, peer)
+		} else {
+			gateway.rankTrials()
 		}
 	}
 }
--- a/hatchgateway/gossip_test.go
+++ b/hatchgateway/gossip_test.go
@@ -1,6 +1,7 @@
 package hatchgateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -101,6 +102,29 @@
 	})
 }
 
+// TestTrialsWithoutPeers guards against a daemon without peers that tries a refusing engine
+// seconds late, because only exchanges with peers determine its rank for the trials.
+func TestTrialsWithoutPeers(t *testing.T) {
+	convey.Convey("Given a daemon that knows no other one and an engine that has refused its requests", t, func() {
+		gateway := newTestPlacer("lm").gateway
+		engine := testEngine("lm", 0, 0, 8)
+		gateway.mu.Lock()
+		gateway.replicas.replace([]dragonflyhatch.Replica{engine}, 1, time.Now())
+		gateway.rebuildView()
+		gateway.mu.Unlock()
+		node, latest := gateway.View().NodeAt(engine.Address), time.Now().Add(-150*time.Millisecond)
+		node.RecordRefusal(latest.Add(-300 * time.Millisecond))
+		node.RecordRefusal(latest)
+		due := latest.Add(600 * time.Millisecond) // the first trial is due 500 ms after the latest refusal
+		convey.So(node.IsRefusing(due), convey.ShouldBeTrue)
+		convey.So(node.IsFull(due), convey.ShouldBeTrue)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*gossipInterval)
+		defer cancel()
+		gateway.runGossip(ctx)
+		convey.So(node.IsFull(due), convey.ShouldBeFalse)
+	})
+}
+
 func TestPeersOfAPush(t *testing.T) {
 	convey.Convey("Given a daemon in a fleet of forty", t, func() {
 		gateway := newTestPlacer("lm").gateway
