--- a/hatchgateway/gossip_test.go
+++ b/hatchgateway/gossip_test.go
@@ -1,6 +1,7 @@
 package hatchgateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -75,6 +76,21 @@
 			convey.So(node.IsRefusing(soon), convey.ShouldBeFalse)
 			convey.So(gateway.refusals.ended.Count(), convey.ShouldEqual, 1)
 		})
+		convey.Convey("Refusals of processes that are not registered here are neither kept nor sent on", func() {
+			restarted := engines[0].Process()
+			restarted.Started++
+			for number := range 5 {
+				unknown := dragonflyhatch.ReplicaProcess{ID: "unknown", Address: "127.0.0.1:9", Started: int64(number)}
+				for _, process := range []dragonflyhatch.ReplicaProcess{unknown, restarted} {
+					peer.RefusingReplicas = append(peer.RefusingReplicas, dragonflyhatch.ReplicaRefusals{Process: process, Refusals: 3, First: time.Second, Accepted: -1})
+				}
+			}
+			convey.So(gateway.ExchangeGossip(peer).RefusingReplicas, convey.ShouldBeEmpty)
+			convey.So(gateway.pushRequests, convey.ShouldBeEmpty)
+			for _, refusals := range peer.RefusingReplicas {
+				convey.So(gateway.healths.GetProcess(refusals.Process).IsRefusing(time.Now().Add(300*time.Millisecond)), convey.ShouldBeFalse)
+			}
+		})
 		convey.Convey("More waits and leaving processes than a message may have are not all taken", func() {
 			for range 10 * maxLeavingSent {
 				peer.LeavingReplicas = append(peer.LeavingReplicas, dragonflyhatch.ReplicaProcess{ID: "unknown", Started: int64(len(peer.LeavingReplicas))})
@@ -86,6 +102,29 @@
 	})
 }
 
+// TestTrialsWithoutPeers guards against a daemon without peers that tries a refusing engine
+// seconds late, because only exchanges with peers determine its rank for the trials.
+func TestTrialsWithoutPeers(t *testing.T) {
+	convey.Convey("Given a daemon that knows no other one and an engine that has refused its requests", t, func() {
+		gateway := newTestPlacer("lm").gateway
+		engine := testEngine("lm", 0, 0, 8)
+		gateway.mu.Lock()
+		gateway.replicas.replace([]dragonflyhatch.Replica{engine}, 1, time.Now())
+		gateway.rebuildView()
+		gateway.mu.Unlock()
+		node, latest := gateway.View().NodeAt(engine.Address), time.Now().Add(-150*time.Millisecond)
+		node.RecordRefusal(latest.Add(-300 * time.Millisecond))
+		node.RecordRefusal(latest)
+		due := latest.Add(600 * time.Millisecond) // the first trial is due 500 ms after the latest refusal
+		convey.So(node.IsRefusing(due), convey.ShouldBeTrue)
+		convey.So(node.IsFull(due), convey.ShouldBeTrue)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*gossipInterval)
+		defer cancel()
+		gateway.runGossip(ctx)
+		convey.So(node.IsFull(due), convey.ShouldBeFalse)
+	})
+}
+
 func TestPeersOfAPush(t *testing.T) {
 	convey.Convey("Given a daemon in a fleet of forty", t, func() {
 		gateway := newTestPlacer("lm").gateway
--- a/hatchpath/refusals.go
+++ b/hatchpath/refusals.go
@@ -62,6 +62,10 @@
 	// seem younger with each peer that passes them on, so that those of a busy process
 	// otherwise outlive its acceptances.
 	firstReportTime = 250 * time.Millisecond
+	// maxRefusalCount and maxRefusalAge bound what a peer may report, so that a larger
+	// count or age does not overflow the 32 bits of the fields in messages.
+	maxRefusalCount = 1 << 20
+	maxRefusalAge   = 24 * time.Hour
 	// newRefusalsShare is the share of a message for the latest reports; the others take
 	// turns in the rest of it.
 	newRefusalsShare = 0.75
@@ -82,7 +86,11 @@
 func NewRefusals(now time.Time, report dragonflyhatch.ReplicaRefusals) Refusals {
 	var refusals Refusals
 	if report.Refusals > 0 && report.Latest >= 0 && report.First >= report.Latest {
-		refusals = Refusals{Count: report.Refusals, First: now.Add(-report.First), Latest: now.Add(-report.Latest)}
+		refusals = Refusals{
+			Count:  min(report.Refusals, maxRefusalCount),
+			First:  now.Add(-min(report.First, maxRefusalAge)),
+			Latest: now.Add(-min(report.Latest, maxRefusalAge)),
+		}
 	}
 	if report.Accepted >= 0 {
 		refusals.Accepted = now.Add(-report.Accepted)
@@ -107,7 +115,7 @@
 	if refusals.Count == 0 {
 		refusals.First, refusals.Latest = now, now
 	}
-	refusals.Count++
+	refusals.Count = min(refusals.Count+1, maxRefusalCount)
 	if now.After(refusals.Latest) {
 		refusals.Latest = now
 	}
@@ -138,6 +146,7 @@
 // Merge adds what another daemon knows: the latest acceptance and the latest refusal win,
 // and refusals older than the acceptance are dropped.
 func (refusals Refusals) Merge(other Refusals) Refusals {
+	other = other.aligned(refusals)
 	accepted := latestEvent(refusals.Accepted, other.Accepted)
 	refusals, other = refusals.dropped(accepted), other.dropped(accepted)
 	switch {
@@ -158,6 +167,23 @@
 	return refusals
 }
 
+// aligned returns the refusals with earlier times if their first refusal is the same event
+// as that of known, and seems later for the time that messages took. Otherwise an acceptance
+// before that refusal could seem to follow it, and undo refusals that last.
+func (refusals Refusals) aligned(known Refusals) Refusals {
+	shift := refusals.First.Sub(known.First)
+	if refusals.Count == 0 || known.Count == 0 || shift <= 0 || shift > sameEventTolerance {
+		return refusals
+	}
+	if refusals.Lasting() { // otherwise an earlier time of the latest refusal could hide that they last
+		refusals.First, refusals.Latest = known.First, refusals.Latest.Add(-shift)
+	}
+	if !refusals.Accepted.IsZero() {
+		refusals.Accepted = refusals.Accepted.Add(-shift)
+	}
+	return refusals
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
