--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -300,7 +300,7 @@
 	}
 	if probability < 1 {
 		// A longer target must not bring a less urgent request before a more urgent one.
-		probability *= 1 - RefusalProbability(request.Wait, admission.shortestTarget, returned)
+		probability = max(probability*(1-RefusalProbability(request.Wait, admission.shortestTarget, returned)), min(probability, rankFloor))
 	}
 	verdict.Admitted = draw() < probability
 }
--- a/hatchpath/refusals_test.go
+++ b/hatchpath/refusals_test.go
@@ -261,9 +261,7 @@
 // TestSlowMessages guards against acceptances before the refusals that seem younger with each
 // slow message until they undo the refusals, so that most daemons use the process again.
 func TestSlowMessages(t *testing.T) {
-	const seeds = 3
-	mean := 0.0
-	for seed := range uint64(seeds) {
+	for seed := range uint64(3) {
 		fleet := newRefusalFleet(seed, 12)
 		fleet.delay = 13
 		fleet.run(2*time.Second, never)
@@ -277,10 +275,9 @@
 		})
 		share := float64(avoiding) / float64(checks*simulatedDaemons)
 		t.Logf("seed %d: refused %d times, avoided for %.2f of the daemons' time", seed, fleet.refused["tail-0"], share)
-		mean += share / seeds
-	}
-	if mean < 0.6 { // about 0.36 without Refusals.aligned
-		t.Errorf("avoided for %.2f of the time", mean)
+		if share < 0.9 {
+			t.Errorf("seed %d: avoided for %.2f of the time", seed, share)
+		}
 	}
 }
 
