hatchforward: Fix second copies of safe requests after a kept connection

A safe request that fails on a kept connection is sent again on a new one within the attempt. Three outcomes of that were handled wrongly: - If the context ended (deadline, stop of the daemon, a hedge that won) while the new connection was opened, the attempt counted as not sent, although the first copy may have run. If the attempt's result is taken before the end of the context, the caller is told that the request has not run. - If the dial failed, the second copy was counted as a run although no byte of it was sent. With a limit of two runs no retry followed: a safe request in progress on a kept connection to a process that ends got 502 although another replica was available. On a connection of its own it is retried. - A refusal with Not-Executed but without an Attempt-Id on a kept connection was taken for a response to another request. The request was sent to the same refusing replica again, took the last run and ended with 502. The replica was not recorded as full.

A failed dial of the second copy is always an unknown outcome, and gives back the run that was claimed for it. A refusal without an id on a kept connection ends the attempt with an unknown outcome, without a second copy, and is recorded as a refusal of the replica.

Taking such a refusal as proof that the request has not run: it could be an extra response. Giving back the run after a second copy that was refused: TestKeptConnectionsAreForSafeRequests counts that copy as a run and failed with 3 copies (line 262), so this is left as it is.

--- a/hatchforward/connections.go
+++ b/hatchforward/connections.go
@@ -255,3 +255,11 @@
 	claims.resent++
 	return true
 }
+
+// undoResend gives back the run that resend has claimed, since the second copy of the request
+// was not sent. The first copy still counts as the run of the attempt.
+func (claims *runClaims) undoResend() {
+	claims.mu.Lock()
+	defer claims.mu.Unlock()
+	claims.resent--
+}
--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -179,8 +179,11 @@
 	}
 	replicaExchange, err := call.forwarder.openExchange(ctx, call.outgoingRequest(node.Address, dragonflyhatch.Attempt{ReplicaID: node.ID}))
 	if err != nil {
-		if resent && ctx.Err() == nil && dragonflyhatch.KindOf(err) == dragonflyhatch.KindUpstreamUnavailable {
-			call.forwarder.markNoConnection(node, err)
+		if resent && dragonflyhatch.KindOf(err) == dragonflyhatch.KindUpstreamUnavailable {
+			call.runs.undoResend()
+			if ctx.Err() == nil {
+				call.forwarder.markNoConnection(node, err)
+			}
 			err = upstreamLost(node.Address, err) // the first copy of the request may have run
 		}
 		return nil, err
@@ -236,6 +239,14 @@
 	}
 	stopWaiting()
 	info := call.forwarder.dialect.ParseResponse(replicaExchange.response.StatusCode, replicaExchange.response.Header)
+	if status := replicaExchange.response.StatusCode; info.ID == "" && info.NotRun && isRefusalStatus(status) {
+		// Most likely the answer to this request. A second copy here would be refused too, and
+		// take the run that a retry elsewhere needs.
+		replicaExchange.close()
+		call.observe(node, status, info)
+		call.forwarder.recordRefusal(time.Now(), node, status)
+		return nil, upstreamLost(node.Address, errors.Newf("answered %d without the id of the request on a kept connection", status))
+	}
 	if info.ID != call.info.ID { // a late copy of an earlier response
 		replicaExchange.close()
 		call.logger.Warn("response to another request on a kept connection", "address", node.Address, "other", info.ID)
