hatchforward: Probe a replica with a kept connection soon after an answer

While a request waits on a kept connection the replica is probed, with pauses that grow from 100 ms to 2 s until the replica makes progress. Only streams recorded progress, so the pauses of a plain replica never became shorter. A replica that died within 2 s of the last probe was found up to 2 s later; a new connection would have failed after 0.2 s.

An answer to a plain request counts as progress. A request on a kept connection that takes longer than 160 ms may then open one probe connection after each answer, as many as it would have opened without the reuse.

Ignoring the pauses for kept connections: several slow requests to a live replica would each probe it every 60 ms.

--- a/hatchforward/plain.go
+++ b/hatchforward/plain.go
@@ -149,6 +149,7 @@
 		node.RecordResponse(now, now.Sub(started), true)
 	case !replicaResponse.info.NotRun:
 		call.forwarder.recordTaken(now, started, node)
+		node.RecordProgress(now) // otherwise the pauses between probes of a plain replica would only grow
 		node.RecordResponse(now, now.Sub(started), replicaResponse.status >= http.StatusInternalServerError)
 	}
 	return plainResult{node, replicaResponse, err}
--- a/hatchforward/resend_test.go
+++ b/hatchforward/resend_test.go
@@ -164,3 +164,37 @@
 		t.Errorf("reported as %s: %v", kind, err)
 	}
 }
+
+// TestProbeAfterAnswers guards against a dead replica that is found late because earlier
+// probes, during slow requests that were answered, have made the pauses between probes long.
+func TestProbeAfterAnswers(t *testing.T) {
+	replica := newFakeReplica(t, "r-1")
+	var dark atomic.Bool
+	replica.setKeepAlive(func(conn net.Conn, id string, number int) bool {
+		if dark.Load() {
+			replica.listener.Close()
+			_, _ = io.Copy(io.Discard, conn) // until the router closes the connection
+			return false
+		}
+		return answerWell(conn, id, number)
+	})
+	fleet, routing := newFleet("desk", replica), testRouting()
+	routing.Routes[0].Target, routing.Routes[0].Timeout = time.Minute, 10*time.Second // no hedges
+	fleet.table = hatchroute.NewTable(routing)
+	server := newServer(t, fleet)
+	node, now := fleet.view.NodeAt(replica.address()), time.Now()
+	node.RecordProgress(now.Add(-2 * time.Second))               // times before the start of the process are not due otherwise
+	for _, ago := range []time.Duration{1400, 1300, 1000, 100} { // the next one is due 1.9 s from now
+		if !node.TryStartProbe(now.Add(-ago * time.Millisecond)) {
+			t.Fatalf("no probe %d ms ago", ago)
+		}
+	}
+	if got := sendRequest(server, "GET", "/safe/", "alive"); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	dark.Store(true)
+	const limit = time.Second // 0.2 s is usual
+	if got := sendRequest(server, "GET", "/safe/", "dead"); got.status != http.StatusBadGateway || got.latency > limit {
+		t.Errorf("status %d after %v", got.status, got.latency)
+	}
+}
