hatchpath, hatchlimit: queries of choice and admission without side effects

Cause: explain-request (docs/LOAD.md, part 6) needs what a choice was made from and the decision on a request, without recording the request. Admission.Preview decides on a copy. Verdict states the probability of admission. Ruled out: a second implementation of the choice or of the decision, which would drift from the first.

--- a/hatchlimit/demand.go
+++ b/hatchlimit/demand.go
@@ -99,6 +99,22 @@
 	return demand
 }
 
+// clone returns a copy that shares nothing with the demand.
+func (demand *Demand) clone() *Demand {
+	clone := *demand
+	clone.ranks = make([]*meanRate, len(demand.ranks))
+	for rank, rate := range demand.ranks {
+		copied := *rate
+		clone.ranks[rank] = &copied
+	}
+	clone.organisations = make(map[string]*meanRate, len(demand.organisations))
+	for name, rate := range demand.organisations {
+		copied := *rate
+		clone.organisations[name] = &copied
+	}
+	return &clone
+}
+
 // Add records a new request.
 func (demand *Demand) Add(now time.Time, rank int, organisation string, work float64) {
 	demand.ranks[min(max(rank, 0), len(demand.ranks)-1)].own.add(now, work)
--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -138,15 +138,16 @@
 
 // Verdict is the decision on a request, with what it was based on.
 type Verdict struct {
-	Admitted   bool
-	Rule       Rule
-	Fits       float64       // share of all offered work that fits
-	RankFits   float64       // share of the work of the request's rank that fits
-	Demand     float64       // work a second at a daemon, on average
-	Share      float64       // of the organisation in the demand
-	FairShare  float64       // of an organisation in the demand, within the rank
-	Kept       bool          // a place is kept for a refused request when it returns
-	RetryAfter time.Duration // of a refused request
+	Admitted    bool
+	Rule        Rule
+	Probability float64       // with which such a request is admitted
+	Fits        float64       // share of all offered work that fits
+	RankFits    float64       // share of the work of the request's rank that fits
+	Demand      float64       // work a second at a daemon, on average
+	Share       float64       // of the organisation in the demand
+	FairShare   float64       // of an organisation in the demand, within the rank
+	Kept        bool          // a place is kept for a refused request when it returns
+	RetryAfter  time.Duration // of a refused request
 }
 
 // Admission decides which new streams of a service are admitted when its engines have too
@@ -192,7 +193,7 @@
 		defer admission.demand.Add(now, request.Rank, request.Organisation, request.Work)
 	}
 	if room.Capacity <= 0 || room.RunTime <= 0 {
-		return Verdict{Admitted: true, Rule: RuleUnknown, Fits: 1, RankFits: 1}
+		return Verdict{Admitted: true, Rule: RuleUnknown, Probability: 1, Fits: 1, RankFits: 1}
 	}
 	ranks := admission.demand.Means()
 	offered := 0.0
@@ -202,7 +203,7 @@
 	admission.observe(now, room, offered)
 	verdict := Verdict{Demand: offered, Fits: admission.smoothFits}
 	if verdict.Fits >= 1 {
-		verdict.Admitted, verdict.RankFits = true, 1
+		verdict.Admitted, verdict.Probability, verdict.RankFits = true, 1, 1
 		return verdict
 	}
 	admission.judge(&verdict, request, ranks, returned, draw)
@@ -212,6 +213,13 @@
 	return verdict
 }
 
+// Preview returns the decision on a request as Decide would, without recording anything.
+func (admission *Admission) Preview(now time.Time, request Request, room Room, draw func() float64) Verdict {
+	unrecorded := *admission
+	unrecorded.demand = admission.demand.clone()
+	return unrecorded.Decide(now, request, room, draw)
+}
+
 // Observe records the load of the heads between requests, for example after an exchange
 // with a peer.
 func (admission *Admission) Observe(now time.Time, room Room) {
@@ -270,7 +278,7 @@
 		verdict.RankFits = 1
 	}
 	if returned && admission.isKept(request) {
-		verdict.Admitted, verdict.Rule = true, RuleKept
+		verdict.Admitted, verdict.Rule, verdict.Probability = true, RuleKept, 1
 		return
 	}
 	shares := admission.shares(verdict.Demand)
@@ -293,6 +301,7 @@
 		// A longer target must not bring a less urgent request before a more urgent one.
 		probability *= 1 - RefusalProbability(request.Wait, admission.shortestTarget, returned)
 	}
+	verdict.Probability = probability
 	verdict.Admitted = draw() < probability
 }
 
--- a/hatchpath/pipeline.go
+++ b/hatchpath/pipeline.go
@@ -117,21 +117,32 @@
 // capacity are used only if no pipeline is possible without them, and those that want
 // no request then only for later stages, whose requests come from the head.
 func (view *View) Pipeline(now time.Time, query Query) (*Pipeline, error) {
+	best, avoidsFull, err := view.chooseCover(now, query, nil)
+	if err != nil {
+		return nil, err
+	}
+	pipeline := best.pipeline(query.Tokens)
+	pipeline.avoidsFull = avoidsFull
+	return pipeline, nil
+}
+
+// chooseCover returns the cover of the chosen pipeline, and whether engines that are full
+// were avoided. It calls compared, unless that is nil, for each cover that it compares.
+func (view *View) chooseCover(now time.Time, query Query, compared func(comparedCover)) (best *cover, avoidsFull bool, err error) {
 	set := view.engines[query.Service]
 	if set == nil {
-		return nil, dragonflyhatch.Failf(dragonflyhatch.KindUpstreamUnavailable, "no engine of %s holds layers", query.Service)
+		return nil, false, dragonflyhatch.Failf(dragonflyhatch.KindUpstreamUnavailable, "no engine of %s holds layers", query.Service)
 	}
 	for _, avoidFull := range []bool{true, false} {
 		usable := func(node *Node) bool {
 			return !node.IsDown(now) && !node.IsLeaving() && !(avoidFull && (node.IsFull(now) || node.PausedFor(now) > 0)) &&
 				!slices.Contains(query.Exclude, node.Address)
 		}
-		if pipeline := set.choosePipeline(now, query, usable); pipeline != nil {
-			pipeline.avoidsFull = avoidFull
-			return pipeline, nil
+		if best := set.chooseCover(now, query, usable, compared); best != nil {
+			return best, avoidFull, nil
 		}
 	}
-	return nil, &dragonflyhatch.Failure{
+	return nil, false, &dragonflyhatch.Failure{
 		Kind: dragonflyhatch.KindUpstreamUnavailable, Detail: "no usable engines of " + query.Service + " cover all layers",
 		RetryAfter: shortestPause(now, set.all, query.Resumed),
 	}
@@ -150,15 +161,24 @@
 	return shortest
 }
 
-// choosePipeline returns a pipeline of the newest version for which there is one, or
-// nil if there is none. Of the cheapest covers of the sites it takes the one with the
-// lowest sum of load cost, slowdown and site penalty. Covers that span several sites
-// are considered only if the daemon's own site has none.
-func (set *engineSet) choosePipeline(now time.Time, query Query, usable func(*Node) bool) *Pipeline {
+// chooseCover returns a cover by the newest version for which there is one, or nil if
+// there is none. Of the cheapest covers of the sites it takes the one with the lowest sum
+// of load cost, slowdown and site penalty. Covers that span several sites are considered
+// only if the daemon's own site has none. It calls compared, unless that is nil, for each
+// cover that it compares.
+func (set *engineSet) chooseCover(now time.Time, query Query, usable func(*Node) bool, compared func(comparedCover)) *cover {
 	for _, version := range set.versions {
 		var best *cover
 		bestCost := math.Inf(1)
 		local := false // the daemon's own site has a pipeline
+		consider := func(site string, candidate *cover, cost float64) {
+			if compared != nil {
+				compared(comparedCover{cover: candidate, site: site, version: version, cost: cost})
+			}
+			if cost < bestCost {
+				best, bestCost = candidate, cost
+			}
+		}
 		for _, site := range set.sites {
 			candidate := set.cover(now, set.bySite[site], version, query, usable)
 			if candidate == nil {
@@ -172,17 +192,15 @@
 			if query.AnySite {
 				cost += siteJitter * query.Random.Float64()
 			}
-			if cost < bestCost {
-				best, bestCost = candidate, cost
-			}
+			consider(site, candidate, cost)
 		}
 		if !local {
-			if candidate := set.cover(now, set.all, version, query, usable); candidate != nil && set.loadCost(now, candidate, query.Daemons)+multiSitePenalty < bestCost {
-				best = candidate
+			if candidate := set.cover(now, set.all, version, query, usable); candidate != nil {
+				consider("", candidate, set.loadCost(now, candidate, query.Daemons)+multiSitePenalty)
 			}
 		}
 		if best != nil {
-			return best.pipeline(query.Tokens)
+			return best
 		}
 	}
 	return nil
--- a/hatchpath/service.go
+++ b/hatchpath/service.go
@@ -26,6 +26,12 @@
 // a response, or a Failure of KindUpstreamUnavailable. Costs vary at random by up to
 // a tenth, so that similar replicas share the requests.
 func (view *View) Service(now time.Time, query Query) (*Node, error) {
+	return view.chooseReplica(now, query, nil)
+}
+
+// chooseReplica is Service. It calls compared, unless that is nil, for each replica that
+// it compares.
+func (view *View) chooseReplica(now time.Time, query Query, compared func(node *Node, cost float64)) (*Node, error) {
 	var best *Node
 	bestCost := math.Inf(1)
 	for _, node := range view.byService[query.Service] {
@@ -33,6 +39,9 @@
 			continue
 		}
 		cost := node.serviceCost(now, query) * (0.9 + 0.2*query.Random.Float64())
+		if compared != nil {
+			compared(node, cost)
+		}
 		if cost < bestCost {
 			best, bestCost = node, cost
 		}
