--- a/hatchforward/admission.go
+++ b/hatchforward/admission.go
@@ -26,10 +26,15 @@
 	if forwarder.random.Float64() >= hatchlimit.RefusalProbability(wait, stream.route.Target, returned) {
 		return nil
 	}
+	return refusalByWait(wait, head.Address, hatchlimit.ReturnDelay(time.Until(stream.deadline), forwarder.random.Float64()))
+}
+
+// refusalByWait returns the refusal of a new stream that is expected to wait at the head.
+func refusalByWait(wait time.Duration, head string, after time.Duration) *dragonflyhatch.Failure {
 	return &dragonflyhatch.Failure{
 		Kind:       dragonflyhatch.KindOverloaded,
-		Detail:     "expected to wait " + wait.Round(time.Millisecond).String() + " at " + head.Address,
-		RetryAfter: hatchlimit.ReturnDelay(time.Until(stream.deadline), forwarder.random.Float64()),
+		Detail:     "expected to wait " + wait.Round(time.Millisecond).String() + " at " + head,
+		RetryAfter: after,
 	}
 }
 
@@ -49,6 +54,13 @@
 	return longest
 }
 
+// previewLongestTimeLeft returns what longestTimeLeft would, without recording it.
+func (forwarder *Forwarder) previewLongestTimeLeft(route string, left time.Duration) time.Duration {
+	forwarder.mu.Lock()
+	defer forwarder.mu.Unlock()
+	return hatchlimit.LongestLeft(forwarder.longestLeft[route], left)
+}
+
 // recordQueue records how long further streams are expected to wait at the pipeline's
 // head, by the load that it reports with the first event of a stream.
 func (stream *stream) recordQueue(pipeline *hatchpath.Pipeline, load *dragonflyhatch.ServiceLoad) {
--- a/hatchforward/forwarder.go
+++ b/hatchforward/forwarder.go
@@ -226,15 +226,24 @@
 // admit finds the request's route, organisation and service, sets its deadline and
 // reads its body.
 func (call *call) admit() error {
+	path, _, _ := strings.Cut(call.request.RequestURI, "?")
+	if err := call.resolve(call.request.Host, path, call.forwarder.random); err != nil {
+		return err
+	}
+	call.setDeadline()
+	return call.readBody(call.table.Limits.BodyBytes)
+}
+
+// resolve finds the route, organisation and service of the request for the host and path.
+func (call *call) resolve(host, path string, random *rand.Rand) error {
 	table := call.forwarder.fleet.Table()
 	if table == nil {
 		return dragonflyhatch.Failf(dragonflyhatch.KindNotReady, "no configuration yet")
 	}
 	call.table, call.configurationVersion = table, table.Version
-	path, _, _ := strings.Cut(call.request.RequestURI, "?")
-	call.route = table.Route(call.request.Host, path)
+	call.route = table.Route(host, path)
 	if call.route == nil {
-		return dragonflyhatch.Failf(dragonflyhatch.KindNotFound, "no route for %s%s in configuration %d", call.request.Host, path, table.Version)
+		return dragonflyhatch.Failf(dragonflyhatch.KindNotFound, "no route for %s%s in configuration %d", host, path, table.Version)
 	}
 	if table.NeedsKey(call.route) {
 		if call.organisation = table.Organisation(call.info.Key); call.organisation == nil {
@@ -242,11 +251,10 @@
 		}
 	}
 	var ok bool
-	if call.service, ok = table.ChooseService(call.route, call.forwarder.random.Float64()); !ok {
+	if call.service, ok = table.ChooseService(call.route, random.Float64()); !ok {
 		return dragonflyhatch.Failf(dragonflyhatch.KindUpstreamUnavailable, "route %s names no service", call.route.Name)
 	}
-	call.setDeadline()
-	return call.readBody(table.Limits.BodyBytes)
+	return nil
 }
 
 // setDeadline sets the deadline from the timeout of the route or the caller,
--- a/hatchforward/ranked.go
+++ b/hatchforward/ranked.go
@@ -56,6 +56,17 @@
 	return admission
 }
 
+// preview returns a copy of the service's admission for a decision without side effects.
+// The caller may change the copy's fields, but not its demand. The mutex must be held.
+func (admissions *rankedAdmissions) preview(service string, ranks int) *rankedAdmission {
+	admission, ok := admissions.byService[service]
+	if !ok || admission.Ranks() != ranks {
+		return &rankedAdmission{Admission: hatchlimit.NewAdmission(ranks)}
+	}
+	unrecorded := *admission
+	return &unrecorded
+}
+
 // room returns the load of the service's heads as far as this daemon knows it.
 func (forwarder *Forwarder) room(now time.Time, service string, admission *rankedAdmission) hatchlimit.Room {
 	view := forwarder.fleet.View()
@@ -104,11 +115,7 @@
 	admissions.mu.Lock()
 	admission := admissions.get(stream.service.Name, ranks)
 	room := forwarder.room(now, stream.service.Name, admission)
-	request := hatchlimit.Request{
-		Rank: rank, Organisation: stream.organisationName(), Work: stream.work(),
-		Left: stream.info.TimeLeft, Longest: forwarder.longestTimeLeft(stream.route.Name, stream.info.TimeLeft),
-		Target: stream.route.Target, Wait: head.ExpectedWait(now),
-	}
+	request := stream.admissionRequest(rank, head.ExpectedWait(now), forwarder.longestTimeLeft(stream.route.Name, stream.info.TimeLeft))
 	verdict := admission.Decide(now, request, room, forwarder.random.Float64)
 	if verdict.Fits < 1 {
 		admission.shortAt = now
@@ -118,6 +125,20 @@
 	if verdict.Admitted {
 		return nil
 	}
+	return refusalByRank(rank, ranks, verdict, room)
+}
+
+// admissionRequest describes the call to an admission: its rank, the wait that is expected
+// at the chosen head, and the longest time left of the route's requests.
+func (call *call) admissionRequest(rank int, wait, longest time.Duration) hatchlimit.Request {
+	return hatchlimit.Request{
+		Rank: rank, Organisation: call.organisationName(), Work: call.work(),
+		Left: call.info.TimeLeft, Longest: longest, Target: call.route.Target, Wait: wait,
+	}
+}
+
+// refusalByRank returns the refusal of a new stream of the rank.
+func refusalByRank(rank, ranks int, verdict hatchlimit.Verdict, room hatchlimit.Room) *dragonflyhatch.Failure {
 	return &dragonflyhatch.Failure{
 		Kind: dragonflyhatch.KindOverloaded,
 		Detail: fmt.Sprintf("rank %d of %d, rule %s: %.2f of the work fits, %.2f of the rank's; share %.3f, fair %.3f; %.0f running and %.0f waiting of %.0f, reports up to %s old; place kept: %t",
--- a/hatchforward/response.go
+++ b/hatchforward/response.go
@@ -17,11 +17,7 @@
 	failure := dragonflyhatch.FailureOf(err)
 	errorResponse := failure.Kind.ErrorResponse()
 	header := call.writer.Header()
-	if errorResponse.Retry && errorResponse.Ran == dragonflyhatch.RanNo {
-		after := max(refusedRetryAfter, failure.RetryAfter)
-		if failure.Kind == dragonflyhatch.KindLeaving {
-			after = 0 // other daemons can take the request at once
-		}
+	if after, ok := retryAfter(failure); ok {
 		call.forwarder.dialect.SetRetryAfter(header, after)
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -33,6 +29,19 @@
 	call.recordOutcome(errorResponse.Status, failure.Error())
 }
 
+// retryAfter returns the delay that the response to the failure names, or false if it names
+// none.
+func retryAfter(failure *dragonflyhatch.Failure) (after time.Duration, ok bool) {
+	errorResponse := failure.Kind.ErrorResponse()
+	if !errorResponse.Retry || errorResponse.Ran != dragonflyhatch.RanNo {
+		return 0, false
+	}
+	if failure.Kind == dragonflyhatch.KindLeaving {
+		return 0, true // other daemons can take the request at once
+	}
+	return max(refusedRetryAfter, failure.RetryAfter), true
+}
+
 // replicaResponse is a replica's complete response.
 type replicaResponse struct {
 	status int
