cmd: explain-request

Change: the command describes a request to a daemon's peer address and prints the preview as text or JSON.

--- a/cmd/dragonflyhatch/main.go
+++ b/cmd/dragonflyhatch/main.go
@@ -71,6 +71,7 @@
 			drainCommand(),
 			statusCommand(),
 			explainCommand(),
+			explainRequestCommand(),
 			auditCommand(),
 			loadCommand(),
 			standinCommand(),
