--- a/hatchforward/preview_test.go
+++ b/hatchforward/preview_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"maps"
 	"testing"
 	"time"
 
@@ -36,59 +35,63 @@
 	return fleet
 }
 
-// state returns what a preview must not change.
-func (forwarder *Forwarder) state(registry metrics.Registry) string {
-	text := fmt.Sprintf("%+v %v %v %v", registry.GetAll(), forwarder.longestLeft, forwarder.budgets, forwarder.runTimes)
-	for service, admission := range forwarder.ranked.byService {
-		// Not Forwarder.Demand, which updates the demand.
-		text += fmt.Sprintf(" %s %+v %v %v %v %v", service, *admission.Admission, admission.capacity, admission.capacityAt,
-			admission.Demand().Means(), admission.Demand().Organisations())
+// state returns the metrics and the state of the forwarder that requests change.
+func (forwarder *Forwarder) state() string {
+	return fmt.Sprintf("%+v %v %v %v", forwarder.metricSet.registry.GetAll(), forwarder.longestLeft, forwarder.budgets, forwarder.runTimes)
+}
+
+// overloadedForwarder returns a forwarder that has decided on 60 requests in the 3 s before
+// now, while its engines had a queue.
+func overloadedForwarder(now time.Time) *Forwarder {
+	addresses := []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80", "10.0.0.5:80", "10.0.0.6:80"} // enough for random costs
+	fleet := previewFleet(addresses...)
+	forwarder := New(fleet, platform.Dialect{}, WithSite("site-0"), WithMetrics(metrics.NewRegistry()), WithLogger(slog.New(slog.DiscardHandler)))
+	call := &call{forwarder: forwarder, route: &fleet.table.Routes[2], info: dragonflyhatch.RequestInfo{PromptTokens: 100, OutputTokens: 200, TimeLeft: 5 * time.Second}}
+	admission := forwarder.ranked.get("lm", 2)
+	for at := now.Add(-3 * time.Second); !at.After(now); at = at.Add(50 * time.Millisecond) {
+		for _, address := range addresses {
+			fleet.view.NodeAt(address).RecordHeadLoad(at, 8, 3)
+			fleet.view.NodeAt(address).RecordQueueWait(at, 3*time.Second)
+		}
+		longest := forwarder.longestTimeLeft("stream", 5*time.Second)
+		admission.Decide(at, call.admissionRequest(1, 3*time.Second, longest), forwarder.room(at, "lm", admission), func() float64 { return previewDraw })
 	}
-	return text
+	return forwarder
 }
 
 // TestPreviewChangesNothing guards against previews that count as requests, and against
 // previews that differ although nothing has changed.
 func TestPreviewChangesNothing(t *testing.T) {
 	convey.Convey("Given a forwarder whose engines have a queue", t, func() {
-		registry := metrics.NewRegistry()
-		fleet := previewFleet("10.0.0.1:80", "10.0.0.2:80")
-		forwarder := New(fleet, platform.Dialect{}, WithSite("site-0"), WithMetrics(registry), WithLogger(slog.New(slog.DiscardHandler)))
-		request := dragonflyhatch.PreviewRequest{Host: "h.example", Path: "/stream/x?q", Key: "secret", PromptTokens: 100, OutputTokens: 200, TimeLeft: 5 * time.Second}
 		now := time.Now()
+		forwarder := overloadedForwarder(now)
+		request := dragonflyhatch.PreviewRequest{Host: "h.example", Path: "/stream/x?q", Key: "secret", PromptTokens: 100, OutputTokens: 400, TimeLeft: 5 * time.Second}
 		convey.Convey("A preview of a service without requests so far creates no state", func() {
-			before := forwarder.state(registry)
-			forwarder.Preview(now, request)
-			convey.So(forwarder.state(registry), convey.ShouldEqual, before)
-			convey.So(forwarder.ranked.byService, convey.ShouldBeEmpty)
+			idle := New(previewFleet("10.0.0.1:80"), platform.Dialect{}, WithLogger(slog.New(slog.DiscardHandler)))
+			before := idle.state()
+			convey.So(idle.Preview(now, request).Admitted, convey.ShouldBeTrue)
+			convey.So(idle.state(), convey.ShouldEqual, before)
+			convey.So(idle.ranked.byService, convey.ShouldBeEmpty)
 		})
-		for range 60 { // in 3 s
-			now = now.Add(50 * time.Millisecond)
-			for _, address := range []string{"10.0.0.1:80", "10.0.0.2:80"} {
-				fleet.view.NodeAt(address).RecordHeadLoad(now, 8, 8)
-				fleet.view.NodeAt(address).RecordQueueWait(now, 3*time.Second)
-			}
-			demanded := forwarder.ranked.get("lm", 2)
-			call := &call{forwarder: forwarder, info: dragonflyhatch.RequestInfo{PromptTokens: 100, OutputTokens: 200, TimeLeft: 5 * time.Second}}
-			convey.So(call.resolve("h.example", "/unknown/", forwarder.random), convey.ShouldNotBeNil)
-			call.route = &fleet.table.Routes[2]
-			demanded.Decide(now, call.admissionRequest(1, 3*time.Second, 5*time.Second), forwarder.room(now, "lm", demanded), func() float64 { return previewDraw })
-		}
 		convey.Convey("Equal calls have equal previews, and neither demand nor metrics change", func() {
-			before, health := forwarder.state(registry), maps.Clone(forwarder.longestLeft)
+			before := forwarder.state()
 			first := forwarder.Preview(now, request)
 			for range 50 {
 				convey.So(forwarder.Preview(now, request), convey.ShouldResemble, first)
 			}
-			convey.So(forwarder.state(registry), convey.ShouldEqual, before)
-			convey.So(forwarder.longestLeft, convey.ShouldResemble, health)
+			convey.So(forwarder.state(), convey.ShouldEqual, before)
+			unasked, later := overloadedForwarder(now), now.Add(time.Second)
+			convey.So(*forwarder.ranked.byService["lm"], convey.ShouldResemble, *unasked.ranked.byService["lm"])
+			forwarder.Preview(later, request)
+			convey.So(forwarder.Demand(later), convey.ShouldResemble, unasked.Demand(later))
+
 			convey.So(first.Rank, convey.ShouldEqual, 1)
 			convey.So(first.Ranks, convey.ShouldEqual, 2)
 			convey.So(first.Admitted, convey.ShouldBeFalse)
 			convey.So(first.Refusal.Kind, convey.ShouldEqual, "overloaded")
 			convey.So(first.Refusal.RetryAfter, convey.ShouldBeBetween, 700*time.Millisecond, 1600*time.Millisecond)
-			convey.So(first.Inputs.Running, convey.ShouldEqual, 16)
-			convey.So(first.Inputs.Waiting, convey.ShouldEqual, 16)
+			convey.So(first.Inputs.Running, convey.ShouldEqual, 48)
+			convey.So(first.Inputs.Waiting, convey.ShouldEqual, 18)
 			convey.So(first.Inputs.Fits, convey.ShouldBeBetween, 0, 1)
 		})
 		convey.Convey("Refusals before the choice name their kind, without the key", func() {
