--- a/hatchlimit/doc.go
+++ b/hatchlimit/doc.go
@@ -8,4 +8,9 @@
 // that they request: an unused share is available to the others, and a burst of
 // one organisation delays only its own requests. Within an organisation the
 // earliest deadline goes first.
+//
+// On the platform, Admission decides on the new streams of a service whose routes have
+// different priorities, from the load of all heads and the demand of the whole fleet;
+// RefusalProbability decides on those of other services. SlotSchedule spaces the requests
+// to a replica that names a limit.
 package hatchlimit
--- a/hatchlimit/ranked.go
+++ b/hatchlimit/ranked.go
@@ -289,7 +289,7 @@
 		return
 	}
 	shares := admission.shares(verdict.Demand)
-	verdict.Share = admission.shareOf(request.Organisation, verdict.Demand, shares)
+	verdict.Share = admission.shareOf(request.Organisation, verdict.Demand)
 	// With less room than one part in excessLevel, organisations of equal size would all be
 	// beyond the level, and the ranks would no longer count.
 	if level := excessLevel * fairLevel(shares, max(verdict.Fits, 1.0/excessLevel)); verdict.Share > level && draw() > level/verdict.Share {
@@ -349,11 +349,10 @@
 	return shares
 }
 
-// shareOf returns the organisation's share of the demand. One that is not among those
-// with the most work has no more than the smallest of them.
-func (admission *Admission) shareOf(name string, offered float64, shares []float64) float64 {
+// shareOf returns the organisation's share of the demand, 0 if nobody has told of it.
+func (admission *Admission) shareOf(name string, offered float64) float64 {
 	rate, ok := admission.demand.organisations[name]
-	if !ok || len(shares) == 0 {
+	if !ok {
 		return 0
 	}
 	return rate.mean / offered
