--- a/hatchpath/refusals.go
+++ b/hatchpath/refusals.go
@@ -17,8 +17,8 @@
 	// treated as refusing, and contradictionTime how long a daemon must have known that
 	// its refusals last. In these times daemons whose requests the process has taken since
 	// hear of the refusals and contradict. Shorter times treat more processes as refusing
-	// that take some requests. With 150 ms instead of 120 ms, 9 in 10 of 137 simulated daemons
-	// knew of a refusing process after 412 ms in one of 40 runs; the bound is 400 ms.
+	// that take some requests; longer ones delay the news beyond the bound of 400 ms within
+	// which nine in ten daemons are to know.
 	refusalSettleTime = 400 * time.Millisecond
 	contradictionTime = 120 * time.Millisecond
 	// maxQueueSettleTime bounds the time that is added for the queue of a head. A request
@@ -50,8 +50,7 @@
 	// another one. Callers abandon a silent stream after two seconds.
 	trialTime = 2 * time.Second
 	// trialCost is the cost of a replica that is due for this daemon's trial, relative to
-	// its usual cost. With the usual cost, each of twelve equal engines waited for some
-	// seconds until a request happened to choose it.
+	// its usual cost, so that a request soon chooses it among equal ones.
 	trialCost = 0.5
 	// trialRankDelay is the time after the latest refusal from which the rank for the next
 	// trial is determined. Ranks are costly, and most refusals are followed by others.
