--- a/hatchmember/outage.go
+++ b/hatchmember/outage.go
@@ -167,9 +167,10 @@
 
 // grantResumption gives the daemon that has learned of the end of an outage, whose
 // knowledge is then too old, the time until peers confirm it: otherwise all daemons would
-// read at once. The time is granted only once until the knowledge is confirmed.
+// read at once. The time is granted only after a long outage, in which everybody's
+// knowledge has aged, and only once until the knowledge is confirmed.
 func (freshness *Freshness) grantResumption(now time.Time) {
-	if freshness.resumeAt.IsZero() && freshness.confirmedAt.Add(freshness.readAge).Before(now) {
+	if freshness.outage.longEndedAt.Equal(now) && freshness.resumeAt.IsZero() && freshness.confirmedAt.Add(freshness.readAge).Before(now) {
 		freshness.resumeAt = now.Add(freshness.readAge)
 	}
 }
@@ -200,12 +201,17 @@
 }
 
 // NextCall returns when the daemon is to read the store as of now: at the paced time
-// while the store serves nobody, otherwise as NextRead.
+// while the store serves nobody, otherwise as NextRead. If some daemon has read the store
+// since what this one knows was confirmed, the bound on its age holds in an outage too.
 func (freshness *Freshness) NextCall(now time.Time, isPoller, storeLost bool) time.Time {
 	if !freshness.IsPaced(now) {
 		return freshness.NextRead(isPoller, storeLost)
 	}
-	if next := freshness.outage.nextProbe(); next.After(freshness.retryAt) {
+	next := freshness.outage.nextProbe()
+	if due := freshness.confirmedAt.Add(freshness.readAge); freshness.outage.succeededAt.Sub(freshness.confirmedAt) > endMargin && due.Before(next) {
+		next = due
+	}
+	if next.After(freshness.retryAt) {
 		return next
 	}
 	return freshness.retryAt
--- a/hatchmember/outage_test.go
+++ b/hatchmember/outage_test.go
@@ -295,3 +295,29 @@
 		})
 	})
 }
+
+// TestStaleInPartialOutage guards against a daemon whose knowledge grows older than its
+// limit because others that the store turns away make it pace its calls: a replica that had
+// left got a request 2.3 s after the store had acknowledged it.
+func TestStaleInPartialOutage(t *testing.T) {
+	convey.Convey("Given a daemon that has missed a change, while others read the store", t, func() {
+		now := time.Unix(1000, 0)
+		freshness := NewFreshness(outageLimit, rand.New(rand.NewPCG(1, 3)), now)
+		freshness.Confirm(now)
+		due := freshness.NextRead(false, false)
+		now = now.Add(outageLimit / 2)
+		freshness.MergeCalls(10*time.Millisecond, 0, 13, now)
+		convey.Convey("It reads at its limit, although the store has begun to turn a daemon away", func() {
+			freshness.MergeCalls(50*time.Millisecond, time.Millisecond, 13, now)
+			convey.So(freshness.IsPaced(now), convey.ShouldBeTrue)
+			convey.So(freshness.NextCall(now, false, false), convey.ShouldHappenOnOrBefore, due)
+		})
+		convey.Convey("It reads at its limit, although a failure was followed by a success just now", func() {
+			now = due.Add(time.Millisecond)
+			freshness.MergeCalls(500*time.Millisecond, 400*time.Millisecond, 13, now)
+			freshness.MergeCalls(0, 0, 13, now)
+			convey.So(freshness.IsPaced(now), convey.ShouldBeFalse)
+			convey.So(freshness.NextCall(now, false, false), convey.ShouldHappenOnOrBefore, due)
+		})
+	})
+}
