The first listing of a daemon that peers kept up to date defers no removals

A removal is deferred for 2.2 s after an outage; such a daemon takes its first listing seconds after it has followed the store again, and took it for the end of an outage.

--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -267,6 +267,10 @@
 	gateway.healths.Retain(start, list)
 }
 
+// minOutageForGrace is the age of this daemon's knowledge from which registrations may have
+// expired in the store because replicas could not renew them: over one interval of renewals.
+const minOutageForGrace = 2 * time.Second
+
 // replicaFollower applies the registrations of replicas.
 type replicaFollower struct{ *Gateway }
 
@@ -275,10 +279,14 @@
 func (follower replicaFollower) applyListing(objects []dragonflyhatch.Object, version uint64, afterOutage bool) {
 	list := follower.decodeReplicas(objects)
 	follower.updateReplicas(func(replicas *replicaSet, now time.Time) bool {
-		if afterOutage {
-			replicas.startGrace(now)
-		} else if end := follower.freshness.OutageEnd(now); now.Sub(end) < reregistrationGrace {
-			replicas.startGrace(end)
+		// A daemon that the store has turned away, but that peers kept up to date, knows what
+		// has been removed meanwhile: its first listing is no reason to defer removals.
+		if follower.freshness.Age(now) > minOutageForGrace {
+			if afterOutage {
+				replicas.startGrace(now)
+			} else if end := follower.freshness.OutageEnd(now); now.Sub(end) < reregistrationGrace {
+				replicas.startGrace(end)
+			}
 		}
 		return replicas.replace(list, version, now)
 	})
