--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -25,7 +25,8 @@
 type testCase func(run *run) (broken bool, err error)
 
 var cases = map[string]testCase{
-	"lost-lease": runLostLease,
+	"lost-lease":   runLostLease,
+	"slow-streams": runSlowStreams,
 }
 
 // run is one run of a case.
