--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]testCase{
 	"lost-lease":   runLostLease,
 	"slow-streams": runSlowStreams,
+	"half-close":   runHalfClose,
 }
 
 // run is one run of a case.
