--- a/review/_second/main.go
+++ b/review/_second/main.go
@@ -26,9 +26,8 @@
 
 var cases = map[string]testCase{
 	"lost-lease":   runLostLease,
-	"slow-streams": runSlowStreams,
-	"half-close":   runHalfClose,
 	"first-events": runFirstEvents,
+	"slow-streams": runSlowStreams,
 }
 
 // run is one run of a case.
--- a/review/_second/requests.go
+++ b/review/_second/requests.go
@@ -50,7 +50,7 @@
 }
 
 // openRequest sends a request without a body on a new channel.
-func openRequest(address, path, id string, timeLeft time.Duration) (*net.TCPConn, error) {
+func openRequest(address, path, id string, timeLeft time.Duration) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
@@ -63,7 +63,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return conn.(*net.TCPConn), nil
+	return conn, nil
 }
 
 // readAnswer reads the answer from the channel.
--- a/review/_second/servers.go
+++ b/review/_second/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"time"
 
 	"dragonflyhatch/hatchstandin"
@@ -10,13 +9,12 @@
 
 const (
 	modelService = "lm"
-	plainService = "desk"
 	memoryLayers = 7 // that fit into an engine; a placement uses 65 in 100 of them, so 4
 	loadTime     = 200 * time.Millisecond
 )
 
-// configuration returns a configuration as the operator writes it: the routes /draft/ to
-// the model, which has the given number of layers, and /order/ to the plain service.
+// configuration returns a configuration as the operator writes it, with the route /draft/
+// to the model, which has the given number of layers.
 func configuration(version, layers int) map[string]any {
 	return map[string]any{
 		"version": version,
@@ -25,13 +23,8 @@
 				"name": "draft", "host": requestHost, "path_prefix": "/draft/", "route_type": "streaming", "timeout_ms": 20000,
 				"target_latency_ms": 500, "priority": 1, "service": modelService, "max_attempts": 2, "sticky": true, "resumable": true, "gap_target_ms": 200,
 			},
-			map[string]any{
-				"name": "order", "host": requestHost, "path_prefix": "/order/", "route_type": "unsafe", "timeout_ms": 3000,
-				"target_latency_ms": 300, "priority": 2, "service": plainService, "max_attempts": 1,
-			},
 		},
 		"services": []any{
-			map[string]any{"name": plainService, "health_path": "/healthz", "max_connections": 192},
 			map[string]any{"name": modelService, "health_path": "/healthz", "max_connections": 2256, "engine": map[string]any{
 				"slots": 64, "kv_bytes": 1000, "layers": layers, "layer_mb": 100, "step_ms": 0.85, "read_per_s": 196000,
 				"models": []any{map[string]any{"name": "m", "load_s": 1.2}}, "loads_at_once": 8,
@@ -108,35 +101,3 @@
 	}
 	return crashes, nil
 }
-
-// runs counts the requests that plain replicas have run, by id.
-type runs struct {
-	mu   sync.Mutex
-	byID map[string]int
-}
-
-func (runs *runs) count(id string) int {
-	runs.mu.Lock()
-	defer runs.mu.Unlock()
-	return runs.byID[id]
-}
-
-// startPlain starts a replica of the plain service.
-func (servers *servers) startPlain(id string, workTime time.Duration) (*runs, error) {
-	runs := &runs{byID: make(map[string]int)}
-	replica, err := hatchstandin.StartPlainReplica(hatchstandin.PlainReplicaSpec{
-		ID: id, Service: plainService, Zone: "a", Slots: 6, WorkTime: workTime,
-		OnArrival: func(arrival hatchstandin.Arrival) {
-			runs.mu.Lock()
-			defer runs.mu.Unlock()
-			if arrival.Ran {
-				runs.byID[arrival.ID]++
-			}
-		},
-	}, func() {}) // its registration does not change
-	if err != nil {
-		return nil, err
-	}
-	servers.store.register(id, replica.Registration)
-	return runs, nil
-}
