--- a/review/_second/slowstreams.go
+++ b/review/_second/slowstreams.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return false, err
 	}
-	fleet, err := newFleet(run, store.address, 2)
+	fleet, err := newFleet(run, store.address, 3)
 	if err != nil {
 		return false, err
 	}
