A response whose status line is not valid HTTP is no answer

What callers saw: a replica sent a head with status 000, and the caller got 200 with the bytes after that head, or through `serve` an answer with status 0. The same held for 099, 600, 999, +20 and -00, for a 101 that nobody had asked for, and for HTTP/2.0 or a control byte in the status line.

Cause: each reader took what the parser of net/http accepts for a valid head. That parser takes any three characters that make a number of 0 or more for a status; the gateway skipped all below 200 as informational.

Evidence: TestBrokenHeads, TestBrokenHeadsOfStreams, TestBytesAfterBrokenHeads and hatchhead's TestBrokenAnswers on the code of before: status 000, 099, +20 and -00 give 200 with the forged body; 101, 600 and 999 reach the caller; of 21 calls of our clients the service's two return status 0 as an answer, and all 21 take HTTP/2.0 for one.

Change: hatchhead.Checker reads the bytes of each head before the parser does and fails at an invalid status line (RFC 9110, section 15; RFC 9112, section 4). The gateway's headReader and hatchhead.Transport, which the clients of hatchupstream, platform and hatchpeer now use, both read through it. The error comes as that of a lost connection does: the connection is closed, an unsafe request is not sent again, a safe one is retried within its budget. Field names and values are checked with golang.org/x/net/http/httpguts (new module).

Heads that are unusual but valid still pass (TestUnusualHeads, TestUnusualAnswers).

--- a/hatchforward/exchange.go
+++ b/hatchforward/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchhead"
 )
 
 const (
@@ -52,16 +53,16 @@
 	detachContext func() bool // stops the context from closing the connection
 }
 
-// headReader reads a connection. It fails after maxHeadSize bytes until headDone is
-// set.
+// headReader reads a connection. Until the head of the response is complete it fails at an
+// invalid line and after maxHeadSize bytes.
 type headReader struct {
-	conn     net.Conn
-	read     int
-	headDone bool
+	conn    net.Conn
+	read    int
+	checker hatchhead.Checker
 }
 
 func (reader *headReader) Read(buffer []byte) (int, error) {
-	if !reader.headDone {
+	if !reader.checker.Done() {
 		if reader.read >= maxHeadSize {
 			return 0, errHeadTooLong
 		}
@@ -69,6 +70,9 @@
 	}
 	count, err := reader.conn.Read(buffer)
 	reader.read += count
+	if headErr := reader.checker.Check(buffer[:count]); headErr != nil {
+		return 0, headErr
+	}
 	return count, err
 }
 
@@ -139,8 +143,7 @@
 			return errors.CombineErrors(writeErr, err)
 		}
 		exchange.response = response
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			exchange.source.headDone = true
+		if response.StatusCode >= http.StatusOK {
 			return nil
 		}
 	}
--- /dev/null
+++ b/hatchhead/readers_test.go
@@ -0,0 +1,255 @@
+package hatchhead_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchpeer"
+	"dragonflyhatch/hatchupstream"
+	"dragonflyhatch/platform"
+)
+
+// rawServer answers each request by the bytes of respond and keeps the connection open.
+type rawServer struct {
+	listener net.Listener
+	requests atomic.Int32
+	conns    atomic.Int32
+
+	mu      sync.Mutex
+	respond func(conn net.Conn)
+}
+
+func startRawServer(t *testing.T) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	server := &rawServer{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server.conns.Add(1)
+			go server.serve(conn)
+		}
+	}()
+	return server
+}
+
+func (server *rawServer) serve(conn net.Conn) {
+	defer conn.Close()
+	for reader := bufio.NewReader(conn); ; {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		server.requests.Add(1)
+		server.mu.Lock()
+		respond := server.respond
+		server.mu.Unlock()
+		respond(conn)
+	}
+}
+
+// answer sets the bytes that the server sends for each request.
+func (server *rawServer) answer(text string) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.respond = func(conn net.Conn) { io.WriteString(conn, text) }
+}
+
+func (server *rawServer) address() string { return server.listener.Addr().String() }
+
+// call is a call of one of the project's HTTP clients to the server at the address.
+type call struct {
+	name string
+	body string // of a response that the client accepts
+	do   func(ctx context.Context, address string) error
+	// unknown reports whether the error leaves open whether the call took effect; nil for
+	// a call that only reads.
+	unknown func(error) bool
+}
+
+func isLost(err error) bool { return dragonflyhatch.KindOf(err) == dragonflyhatch.KindUpstreamLost }
+
+func isUnknownWrite(err error) bool {
+	return !errors.IsAny(err, dragonflyhatch.ErrVersionConflict, dragonflyhatch.ErrObjectMissing)
+}
+
+// calls returns calls of all of the project's HTTP clients that read answers of other processes.
+func calls() []call {
+	engine, service, engines := hatchupstream.NewEngine(), hatchupstream.NewService(), platform.NewEngineClient()
+	peer, fleet := hatchpeer.NewClient(), hatchpeer.NewFleetClient(time.Second)
+	stages := func(address string) dragonflyhatch.Generation {
+		return dragonflyhatch.Generation{Pipeline: dragonflyhatch.Pipeline{Stages: []dragonflyhatch.Stage{{Address: address}}}}
+	}
+	order := dragonflyhatch.ServiceRequest{Method: http.MethodPost, Path: "/order", Key: "key", Body: []byte("{}")}
+	const object = `{"metadata":{"name":"placement","revision":7},"spec":{},"items":[],"events":[],"as_of":7}`
+	return []call{
+		{"service, read", "{}", func(ctx context.Context, address string) error {
+			_, err := service.Call(ctx, address, dragonflyhatch.ServiceRequest{Method: http.MethodGet, Path: "/read"})
+			return err
+		}, isLost},
+		{"service, order", "{}", func(ctx context.Context, address string) error {
+			_, err := service.Call(ctx, address, order)
+			return err
+		}, isLost},
+		{"engine, stream", `{"kind":"finish"}` + "\n", func(ctx context.Context, address string) error {
+			return engine.Generate(ctx, stages(address), func(dragonflyhatch.Frame) error { return nil })
+		}, isLost},
+		{"engine, load", "{}", func(ctx context.Context, address string) error {
+			_, err := engine.Load(ctx, address)
+			return err
+		}, nil},
+		{"engine, state", "{}", func(ctx context.Context, address string) error {
+			_, err := engine.ModelLayers(ctx, address)
+			return err
+		}, nil},
+		{"engine, layer command", "{}", func(ctx context.Context, address string) error {
+			return engine.SendLayerCommand(ctx, address, dragonflyhatch.EngineCommand{})
+		}, func(err error) bool { return dragonflyhatch.KindOf(err) != dragonflyhatch.KindUpstreamRefused }},
+		{"engine, cancel", "{}", func(ctx context.Context, address string) error {
+			return engine.Cancel(ctx, stages(address))
+		}, nil},
+		{"engine on the platform, report", "{}", func(ctx context.Context, address string) error {
+			_, err := engines.Report(ctx, address)
+			return err
+		}, nil},
+		{"engine on the platform, layer command", "{}", func(ctx context.Context, address string) error {
+			outcome, err := engines.SendLayerCommand(ctx, dragonflyhatch.Replica{ID: "r", Address: address}, dragonflyhatch.LayerCommand{})
+			if outcome == dragonflyhatch.CommandUnknown {
+				err = errors.Mark(err, errUnknownCommand)
+			}
+			return err
+		}, func(err error) bool { return errors.Is(err, errUnknownCommand) }},
+		{"store, get", object, func(ctx context.Context, address string) error {
+			_, err := platform.NewStore(address).Get(ctx, "leases/placement")
+			return err
+		}, isUnknownWrite},
+		{"store, list", object, func(ctx context.Context, address string) error {
+			_, _, err := platform.NewStore(address).List(ctx, "leases/")
+			return err
+		}, nil},
+		{"store, watch", object, func(ctx context.Context, address string) error {
+			_, _, err := platform.NewStore(address).Watch(ctx, "leases/", 7, time.Millisecond)
+			return err
+		}, nil},
+		{"store, create", object, func(ctx context.Context, address string) error {
+			_, err := platform.NewStore(address).Create(ctx, "leases/placement", []byte("{}"))
+			return err
+		}, isUnknownWrite},
+		{"store, update", object, func(ctx context.Context, address string) error {
+			_, err := platform.NewStore(address).Update(ctx, "leases/placement", 6, []byte("{}"))
+			return err
+		}, isUnknownWrite},
+		{"store, delete", object, func(ctx context.Context, address string) error {
+			return platform.NewStore(address).Delete(ctx, "leases/placement", 7)
+		}, isUnknownWrite},
+		{"peer, order", "\x08\xc8\x01", func(ctx context.Context, address string) error {
+			_, err := peer.Order(ctx, address, order)
+			return err
+		}, func(err error) bool { return !errors.Is(err, hatchpeer.ErrUnreachable) }},
+		{"peer, heartbeat", "", func(ctx context.Context, address string) error {
+			_, err := peer.Heartbeat(ctx, address, dragonflyhatch.Heartbeat{})
+			return err
+		}, nil},
+		{"peer, configuration", "", func(ctx context.Context, address string) error {
+			_, err := peer.Configuration(ctx, address)
+			return err
+		}, nil},
+		{"fleet, gossip", "", func(ctx context.Context, address string) error {
+			_, err := fleet.Gossip(ctx, address, dragonflyhatch.Gossip{})
+			return err
+		}, nil},
+		{"fleet, snapshot", "", func(ctx context.Context, address string) error {
+			_, _, err := fleet.Snapshot(ctx, address, dragonflyhatch.SnapshotReplicas)
+			return err
+		}, nil},
+		{"fleet, slot", "", func(ctx context.Context, address string) error {
+			_, err := fleet.TakeSlot(ctx, address, dragonflyhatch.SlotRequest{})
+			return err
+		}, nil},
+	}
+}
+
+var errUnknownCommand = errors.New("outcome of the layer command unknown")
+
+// brokenHeads are the beginnings of heads that are not valid HTTP.
+var brokenHeads = []string{
+	"HTTP/1.1 000 Broken\r\n",
+	"HTTP/1.1 099 Broken\r\n",
+	"HTTP/1.1 600 Broken\r\n",
+	"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n",
+	"HTTP/2.0 200 OK\r\n",
+}
+
+// TestBrokenAnswers guards against broken answers that the clients accept, or that they take
+// for proof that a request did not run.
+func TestBrokenAnswers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, call := range calls() {
+		t.Run(call.name, func(t *testing.T) {
+			server := startRawServer(t)
+			rest := fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(call.body), call.body)
+			for _, head := range brokenHeads {
+				server.answer("HTTP/1.1 200 OK\r\n" + rest)
+				if err := call.do(ctx, server.address()); err != nil {
+					t.Fatalf("after a valid head: %v", err)
+				}
+				server.answer(head + rest + "HTTP/1.1 200 OK\r\n" + rest)
+				requests, conns := server.requests.Load(), server.conns.Load()
+				err := call.do(ctx, server.address())
+				if err == nil || call.unknown != nil && !call.unknown(err) {
+					t.Errorf("%q: error %v", head, err)
+				}
+				if sent := server.requests.Load() - requests; sent != 1 {
+					t.Errorf("%q: sent %d times", head, sent)
+				}
+				server.answer("HTTP/1.1 200 OK\r\n" + rest)
+				if err := call.do(ctx, server.address()); err != nil || server.conns.Load() == conns {
+					t.Errorf("call after %q: error %v, on a new connection: %t", head, err, server.conns.Load() > conns)
+				}
+			}
+		})
+	}
+}
+
+// TestUnusualAnswers guards against the rejection of heads that are valid or that RFC 9112
+// allows a recipient to accept.
+func TestUnusualAnswers(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, call := range calls() {
+		server := startRawServer(t)
+		for _, head := range []string{
+			"HTTP/1.1 200\r\n",
+			"HTTP/1.0 200 OK\r\n",
+			"HTTP/1.1 200 OK\n!#$%&'*+-.^_`|~09azAZ:\n",
+			"HTTP/1.1 200 \xe9\r\nX-Fold: a\r\n \t\r\n b: c\r\nX-Obs: \xe9\r\n",
+			"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: a\r\n\r\nHTTP/1.1 200 OK\r\n",
+		} {
+			server.answer(head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(call.body), call.body))
+			if err := call.do(ctx, server.address()); err != nil {
+				t.Errorf("%s, %q: %v", call.name, head, err)
+			}
+		}
+	}
+}
--- a/hatchpeer/client.go
+++ b/hatchpeer/client.go
@@ -12,6 +12,7 @@
 	"github.com/twitchtv/twirp"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchhead"
 )
 
 // ErrUnreachable marks the error of a call of which no byte was sent.
@@ -46,7 +47,7 @@
 	for _, option := range options {
 		option(client)
 	}
-	client.http = &http.Client{Transport: client.transport}
+	client.http = &http.Client{Transport: hatchhead.NewTransport(client.transport)}
 	return client
 }
 
--- a/hatchpeer/fleet.go
+++ b/hatchpeer/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchhead"
 )
 
 // FleetDaemon handles the calls that a daemon on the platform receives from its
@@ -117,14 +118,14 @@
 
 // NewFleetClient returns a client whose gossip exchanges take at most timeout.
 func NewFleetClient(timeout time.Duration) *FleetClient {
-	transport := &http.Transport{
+	transport := hatchhead.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: fleetDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     fleetIdleTimeout,
 		DisableCompression:  true, // the handler compresses a snapshot once for all peers
 
 		MaxResponseHeaderBytes: maxFleetHeader,
-	}
+	})
 	return &FleetClient{
 		timeout:   timeout,
 		http:      &http.Client{Transport: boundedTransport{transport, maxFleetMessage}},
--- a/hatchupstream/client.go
+++ b/hatchupstream/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchhead"
 )
 
 // Response headers with which an upstream describes the outcome of a request.
@@ -35,12 +36,12 @@
 // connection that is kept may have broken unnoticed, so that it is unknown whether a
 // call on it arrived, and an upstream may send a second copy of a response on it, which
 // the next call would take for its own.
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() *hatchhead.Transport {
+	return hatchhead.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxResponseHeader,
-	}
+	})
 }
 
 // sentTrace records whether any byte of a request may have been sent.
