A response with an invalid field line is no answer

What callers saw: a replica sent a head in which the name of a field held a blank ("X Filler: x", "X-Filler : x"), and the caller got its response.

Change: hatchhead.Checker also checks the field lines: the name is a token (RFC 9110, section 5.1), nothing stands before the colon (RFC 9112, section 5.1), the value has no control bytes. RFC 9112 lets a proxy remove blanks before the colon instead; the response of a replica in that state is not trusted. Continuation lines, which it lets a gateway accept, still pass.

Result: the tests pass, also with the race detector.

--- a/hatchhead/checker.go
+++ b/hatchhead/checker.go
@@ -24,9 +24,10 @@
 type element int
 
 const (
-	statusLine element = iota
-	fieldLine          // or the end of the head
-	content            // the head of the final response is complete
+	statusLine     element = iota
+	firstFieldLine         // or the end of the head
+	nextFieldLine          // or a continuation of the last one, or the end of the head
+	content                // the head of the final response is complete
 )
 
 // Check checks the next bytes that arrive. It returns an error as soon as a line of the head
@@ -57,11 +58,21 @@
 		if !ok {
 			return errors.Newf("invalid status line %.64q", line)
 		}
-		checker.status, checker.expected = status, fieldLine
+		checker.status, checker.expected = status, firstFieldLine
 	case line == "" && checker.status < http.StatusOK:
 		checker.expected = statusLine
 	case line == "":
 		checker.expected, checker.line = content, nil
+	case checker.expected == nextFieldLine && (line[0] == ' ' || line[0] == '\t'):
+		if !httpguts.ValidHeaderFieldValue(line) {
+			return errors.Newf("invalid continuation of a field line %.64q", line)
+		}
+	default:
+		name, value, found := strings.Cut(line, ":")
+		if !found || !isField(name, value) {
+			return errors.Newf("invalid field line %.64q", line)
+		}
+		checker.expected = nextFieldLine
 	}
 	return nil
 }
@@ -95,3 +106,9 @@
 func isInformational(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
+
+// isField reports whether the name is a token (RFC 9110, section 5.1), without blanks before
+// the colon (RFC 9112, section 5.1), and the value has no control bytes.
+func isField(name, value string) bool {
+	return httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value)
+}
--- a/hatchhead/checker_test.go
+++ b/hatchhead/checker_test.go
@@ -60,6 +60,10 @@
 		"HTTP/1.1 2000 OK\r\n",
 		"HTTP/1.1 200 OK\r\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nA: b\r\n",
+		"HTTP/1.1 200 OK\r\n\r\r\n",
+		"HTTP/1.1 200 OK\r\n \r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\nc\r\n",
+		"HTTP/1.1 200 OK\r\nA\r\n : b\r\n",
 	} {
 		for _, size := range []int{1, len(head)} {
 			var checker Checker
--- a/hatchhead/readers_test.go
+++ b/hatchhead/readers_test.go
@@ -198,6 +198,13 @@
 	"HTTP/1.1 600 Broken\r\n",
 	"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n",
 	"HTTP/2.0 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\nX Filler: x\r\n",
+	"HTTP/1.1 200 OK\r\nX-Filler : x\r\n",
+	"HTTP/1.1 200 OK\r\nX-\x01Filler: x\r\n",
+	"HTTP/1.1 103 Early Hints\r\nX Filler: x\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 503 Service Unavailable\r\nNot-Run: true\r\nX Filler: x\r\n",
+	"HTTP/1.1 404 Not Found\r\nX Filler: x\r\n",
+	"HTTP/1.1 409 Conflict\r\nX Filler: x\r\n",
 }
 
 // TestBrokenAnswers guards against broken answers that the clients accept, or that they take
