A response of HTTP/1.0 with a transfer encoding is no answer

What callers saw: 200 with a body that was not the replica's, with the sizes of the chunks in it, where a replica's status line said HTTP/1.0 and its body came in chunks.

Cause: HTTP/1.0 has no transfer encodings, so the parser of net/http drops the field and takes all bytes to the end of the connection for the body.

--- a/hatchforward/brokenhead_test.go
+++ b/hatchforward/brokenhead_test.go
@@ -38,6 +38,7 @@
 	"no colon":                  "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nAttempt-Id: %s\r\nX-Filler\r\n",
 	"control byte in value":     "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nAttempt-Id: %s\r\nX-Filler: x\x00\r\n",
 	"bare carriage return":      "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nAttempt-Id: %s\r\nX-Filler: x\rY: y\r\n",
+	"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\nServer-Seal: seal\r\nAttempt-Id: %s\r\nTransfer-Encoding: chunked\r\n",
 	"control byte in next line": "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\nAttempt-Id: %s\r\nX-Filler: x\r\n \x7f\r\n",
 }
 
--- a/hatchhead/readers_test.go
+++ b/hatchhead/readers_test.go
@@ -201,6 +201,7 @@
 	"HTTP/1.1 200 OK\r\nX Filler: x\r\n",
 	"HTTP/1.1 200 OK\r\nX-Filler : x\r\n",
 	"HTTP/1.1 200 OK\r\nX-\x01Filler: x\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
 	"HTTP/1.1 103 Early Hints\r\nX Filler: x\r\n\r\nHTTP/1.1 200 OK\r\n",
 	"HTTP/1.1 503 Service Unavailable\r\nNot-Run: true\r\nX Filler: x\r\n",
 	"HTTP/1.1 404 Not Found\r\nX Filler: x\r\n",
