A connection is not kept after a response with trailer fields

What callers saw: nothing; found while looking for the same cause elsewhere.

Cause: the parser of net/http reads trailer fields as leniently as those of a head, and the gateway kept the connection for the next request after a trailer that is no field.

Change: a connection is closed after a response with trailer fields. They are not forwarded, so the content, whose end the last chunk marks, still counts.

Result: TestKeptConnections and TestKeptConnectionsAreForSafeRequests pass, also with the race detector.

--- a/hatchforward/connections_test.go
+++ b/hatchforward/connections_test.go
@@ -90,6 +90,10 @@
 			fmt.Fprintf(conn, sealedHeaders+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, len(id), id)
 			return true
 		}, false, 1},
+		{"trailer that is no field", func(conn net.Conn, id string, _ int) bool {
+			fmt.Fprintf(conn, sealedHeaders+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Filler: x\r\n\r\n", id, len(id), id)
+			return true
+		}, false, requests},
 		{"second copy at once", after(0, again), true, requests},
 		{"second copy while the next request waits", func(conn net.Conn, id string, number int) bool {
 			if number > 1 { // the copy of the first answer is sent when the second request has arrived
--- a/hatchforward/exchange.go
+++ b/hatchforward/exchange.go
@@ -162,10 +162,11 @@
 }
 
 // isComplete reports whether the exchange has used all bytes of its connection, so that the
-// connection may carry another request.
+// connection may carry another request. Trailer fields, which are not forwarded, are not
+// checked as those of a head are, so that nothing after them is trusted.
 func (exchange *exchange) isComplete() bool {
 	response := exchange.response
-	return !response.Close && exchange.reader.Buffered() == 0 &&
+	return !response.Close && exchange.reader.Buffered() == 0 && len(response.Trailer) == 0 &&
 		(response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked"))
 }
 
