A recorded or relayed answer with an invalid status is no answer

What callers saw: with a key, an answer that a daemon had recorded before the fix, or that a daemon of an older version relays, would still come with status 600 or 999, or as an internal error for status 0.

Cause: hatchpeer and the claims hold the status as a number, which nothing checked before it was written to the caller.

Change: hatchentry checks the status by hatchhead.IsFinalStatus and answers upstreamLost otherwise, which leaves open whether the request ran.

Result: hatchentry is green with the race detector.

--- a/hatchentry/calls.go
+++ b/hatchentry/calls.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchhead"
 )
 
 const idempotencyKeyHeader = "Idempotency-Key"
@@ -28,6 +29,9 @@
 		Key:          request.Header.Get(idempotencyKeyHeader),
 		Deadline:     session.deadline,
 	})
+	if err == nil && !hatchhead.IsFinalStatus(reply.Status) { // recorded or relayed by a daemon that did not check it
+		err = dragonflyhatch.Failf(dragonflyhatch.KindUpstreamLost, "the answer has the invalid status %d", reply.Status)
+	}
 	if err != nil {
 		refuse(writer, err)
 		return err
--- a/hatchentry/entry_test.go
+++ b/hatchentry/entry_test.go
@@ -26,6 +26,7 @@
 	sealer  *hatchanswer.Sealer
 	breakAt int // position at which the answer fails, if positive
 	panics  bool
+	status  int // of the reply to a call
 }
 
 func newFakeFleet() *fakeFleet {
@@ -33,7 +34,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &fakeFleet{sealer: sealer}
+	return &fakeFleet{sealer: sealer, status: http.StatusCreated}
 }
 
 func (fleet *fakeFleet) Entries(string) Entries {
@@ -77,7 +78,7 @@
 }
 
 func (fleet *fakeFleet) Call(context.Context, string, dragonflyhatch.ServiceRequest) (dragonflyhatch.ServiceReply, error) {
-	return dragonflyhatch.ServiceReply{Status: http.StatusCreated, Body: []byte("{}"), Repeated: true}, nil
+	return dragonflyhatch.ServiceReply{Status: fleet.status, Body: []byte("{}"), Repeated: true}, nil
 }
 
 func (fleet *fakeFleet) Begin(string, string, string, time.Time) {}
@@ -199,6 +200,22 @@
 	})
 }
 
+// TestInvalidStatusIsNoAnswer guards against the broken answer of a service that an older daemon
+// has recorded or relays.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	convey.Convey("A reply with an invalid status gets a response that leaves open whether the request ran", t, func() {
+		fleet := newFakeFleet()
+		server := httptest.NewServer(NewCallerHandler(fleet, testLimits()))
+		defer server.Close()
+		for _, fleet.status = range []int{999, 600, 101, 99, 0} {
+			response, _, refused := send(server, "POST", "/v1/services/desk/order", "{}", "Idempotency-Key", "key")
+			convey.So(response.StatusCode, convey.ShouldEqual, http.StatusBadGateway)
+			convey.So(refused.Kind, convey.ShouldEqual, "upstreamLost")
+			convey.So(refused.Ran, convey.ShouldEqual, "unknown")
+		}
+	})
+}
+
 // eventIDs returns the ids of the events of a stream, in order.
 func eventIDs(stream string) []string {
 	var ids []string
