The oracle of the fuzz tests does not call the parser that it checks

What was wrong: the oracle of FuzzPlainResponse and FuzzStreamResponse read the replica's bytes by http.ReadResponse, which the forwarder calls too, and skipped statuses below 200 as the forwarder did.

Change: the oracle reads heads by the grammar of RFC 9112 and has a framing of its own. The checks are the same or stricter: a response that the old oracle read and the grammar does not have is now a failure if a caller gets a success. Eight seeds are new, seven of them broken heads.

--- a/hatchforward/fuzz_test.go
+++ b/hatchforward/fuzz_test.go
@@ -1,13 +1,13 @@
 package hatchforward
 
 import (
-	"bufio"
-	"bytes"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -37,23 +37,115 @@
 	return got
 }
 
-// oracle returns the last response of the bytes and its body, and whether it is a
-// complete response to the request with the id, with a seal if it is a success.
-func oracle(method string, answer []byte) (response *http.Response, body []byte, complete bool) {
-	reader := bufio.NewReader(bytes.NewReader(answer))
+// oracleResponse is a response as the oracle reads it.
+type oracleResponse struct {
+	status   int
+	header   http.Header
+	body     []byte
+	complete bool // the body is complete
+}
+
+// The grammar of heads (RFC 9112, sections 2 to 5), with bytes as code points.
+const (
+	reasonPattern     = `(?: [\t -~\x{80}-\x{ff}]*)?\r?\n`
+	fieldLinesPattern = "((?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:(?:[\\t -~\\x{80}-\\x{ff}]*\\r?\\n[\\t ])*[\\t -~\\x{80}-\\x{ff}]*\\r?\\n)*)\\r?\\n"
+)
+
+var (
+	informationalHead = regexp.MustCompile(`^HTTP/1\.[0-9] 1(?:0[02-9]|[1-9][0-9])` + reasonPattern + fieldLinesPattern)
+	finalHead         = regexp.MustCompile(`^HTTP/1\.([0-9]) ([2-5][0-9][0-9])` + reasonPattern + fieldLinesPattern)
+	fold              = regexp.MustCompile(`[\t ]*\r?\n[\t ]+`)
+	chunkSize         = regexp.MustCompile(`^([0-9A-Fa-f]{1,16})[\t ]*(?:;[^\n]*)?\r?\n`)
+	trailerEnd        = regexp.MustCompile(`(?:^|\n)\r?\n`)
+)
+
+// readOracle returns the final response of the bytes, or nil if there is none. It does not call
+// the parser of net/http, which the forwarder calls.
+func readOracle(answer []byte) *oracleResponse {
+	text := make([]rune, len(answer))
+	for i, value := range answer {
+		text[i] = rune(value)
+	}
+	rest := string(text)
 	for {
-		var err error
-		if response, err = http.ReadResponse(reader, &http.Request{Method: method}); err != nil {
-			return nil, nil, false
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		head := informationalHead.FindString(rest)
+		if head == "" {
 			break
 		}
+		rest = rest[len(head):]
+	}
+	match := finalHead.FindStringSubmatch(rest)
+	if match == nil {
+		return nil
+	}
+	response := &oracleResponse{header: make(http.Header)}
+	response.status, _ = strconv.Atoi(match[2]) // three digits
+	for line := range strings.Lines(fold.ReplaceAllString(match[3], " ")) {
+		name, value, _ := strings.Cut(strings.TrimRight(line, "\r\n"), ":")
+		response.header.Add(name, strings.Trim(value, "\t "))
+	}
+	codings, lengths := response.header["Transfer-Encoding"], response.header["Content-Length"]
+	content := []rune(rest[len(match[0]):])
+	switch {
+	case response.status == http.StatusNoContent || response.status == http.StatusNotModified:
+		response.complete = true
+	case codings != nil && match[1] == "0": // RFC 9112, section 6.1
+		return nil
+	case codings != nil:
+		if len(codings) != 1 || !strings.EqualFold(strings.TrimSpace(codings[0]), "chunked") {
+			return nil
+		}
+		response.body, response.complete = readChunks(string(content))
+	case lengths != nil:
+		length, err := strconv.ParseUint(strings.TrimSpace(lengths[0]), 10, 63)
+		if err != nil || slices.ContainsFunc(lengths, func(other string) bool { return strings.TrimSpace(other) != strings.TrimSpace(lengths[0]) }) {
+			return nil
+		}
+		response.complete = uint64(len(content)) >= length
+		response.body = toBytes(content[:min(uint64(len(content)), length)])
+	default:
+		response.body, response.complete = toBytes(content), true
+	}
+	return response
+}
+
+// readChunks returns the content of a chunked body, and whether the body is complete.
+func readChunks(rest string) (body []byte, complete bool) {
+	for {
+		match := chunkSize.FindStringSubmatch(rest)
+		if match == nil {
+			return body, false
+		}
+		size, _ := strconv.ParseUint(match[1], 16, 64) // at most 16 digits
+		rest = rest[len(match[0]):]
+		if size == 0 {
+			return body, trailerEnd.MatchString(rest)
+		}
+		data := []rune(rest)
+		chunk := data[:min(uint64(len(data)), size)]
+		body = append(body, toBytes(chunk)...)
+		after, ended := strings.CutPrefix(string(data[len(chunk):]), "\r\n")
+		if !ended {
+			return body, false
+		}
+		rest = after
+	}
+}
+
+func toBytes(text []rune) []byte {
+	data := make([]byte, len(text))
+	for i, value := range text {
+		data[i] = byte(value)
 	}
-	body, err := io.ReadAll(response.Body)
-	id := response.Header.Get("Attempt-Id")
-	sealed := response.StatusCode >= http.StatusMultipleChoices || response.Header.Get("Server-Seal") != ""
-	return response, body, err == nil && sealed && (id == "" || id == "id")
+	return data
+}
+
+// isAnswer reports whether the response is complete, answers the request with the id "id" and,
+// if it is a success, has a seal.
+func (response *oracleResponse) isAnswer() bool {
+	id := response.header.Get("Attempt-Id")
+	sealed := response.status >= http.StatusMultipleChoices || response.header.Get("Server-Seal") != ""
+	return response.complete && sealed && (id == "" || id == "id")
 }
 
 var fuzzSeeds = []string{
@@ -65,6 +157,14 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid",
 	"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nid: \r\n8\r\n1\ndata\n\n\r\n0\r\n\r\n",
+	"HTTP/1.1 000 Broken\r\n\r\nHTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 2\r\n\r\n\n\n",
+	"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\nhello",
+	"HTTP/2.0 200 OK\r\nServer-Seal: s\r\n\r\nhello",
+	"HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\nhello",
+	"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nX Y: z\r\n\r\nhello",
+	"HTTP/1.1 200 OK\r\nServer-Seal : s\r\nContent-Length: 5\r\n\r\nhello",
+	"HTTP/1.1 200\nServer-Seal: a\n \tb\nX-\xe9: z\nX: \xe9\n\nhello",
+	"HTTP/1.0 200 OK\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 }
 
 // FuzzPlainResponse checks that a caller never gets a success that is not a complete
@@ -79,8 +179,8 @@
 		if got.status < 200 || got.status >= 300 {
 			return
 		}
-		response, body, complete := oracle("GET", answer)
-		if !complete || response.StatusCode != got.status || got.complete && got.body != string(body) {
+		response := readOracle(answer)
+		if response == nil || !response.isAnswer() || response.status != got.status || got.complete && got.body != string(response.body) {
 			t.Fatalf("%.300q: the caller got %d %.100q", answer, got.status, got.body)
 		}
 	})
@@ -98,17 +198,19 @@
 		if got.status < 200 || got.status >= 300 {
 			return
 		}
-		response, body, complete := oracle("POST", answer)
-		switch {
-		case response == nil:
+		response := readOracle(answer)
+		if response == nil {
 			t.Fatalf("%.300q: the caller got %d %.100q", answer, got.status, got.body)
-		case !isEventStream(response.Header):
-			if !complete || got.complete && got.body != string(body) {
+		}
+		body, complete := string(response.body), response.isAnswer()
+		switch {
+		case !isEventStream(response.header):
+			if !complete || got.complete && got.body != body {
 				t.Fatalf("%.300q: the caller got %d %.100q", answer, got.status, got.body)
 			}
-		case got.complete && (!complete || got.body != string(body)):
+		case got.complete && (!complete || got.body != body):
 			t.Fatalf("%.300q: complete, but with %.100q", answer, got.body)
-		case !strings.HasPrefix(string(body), got.body) || got.body != "" && lastEventEnd([]byte(got.body)) != len(got.body):
+		case !strings.HasPrefix(body, got.body) || got.body != "" && lastEventEnd([]byte(got.body)) != len(got.body):
 			t.Fatalf("%.300q: the caller got %.100q", answer, got.body)
 		}
 	})
