Soak: replicas of the plain service break the heads of responses

What was missing: nothing between real processes sent heads that are not valid HTTP.

Change: PlainFaults.BreakRate; DeskLosesAnswers breaks a fifth of the responses, half by status 000 and half by a blank in a field name, with a forged response after them.

--- a/hatchsoak/fault.go
+++ b/hatchsoak/fault.go
@@ -36,7 +36,7 @@
 	// The following affect a replica of the plain service, whose name is desk.
 	DeskCrash
 	DeskFails        // some requests fail with status 500
-	DeskLosesAnswers // some responses are lost or sent twice
+	DeskLosesAnswers // some responses are lost, sent twice or broken
 	DeskSheds        // some requests are refused
 	faults           // number of kinds
 )
--- a/hatchsoak/inject.go
+++ b/hatchsoak/inject.go
@@ -188,7 +188,7 @@
 		defer run.checker.beginDisturbance(-1)()
 	}
 	linkStates := map[Fault]linkState{EngineSilent: linkSilent, EngineReset: linkReset, EngineSlow: linkSlow}
-	plainFaults := map[Fault]hatchstandin.PlainFaults{DeskFails: {FailRate: 0.4}, DeskLosesAnswers: {LoseRate: 0.2, DuplicateRate: 0.1}, DeskSheds: {RefuseRate: 0.6}}
+	plainFaults := map[Fault]hatchstandin.PlainFaults{DeskFails: {FailRate: 0.4}, DeskLosesAnswers: {LoseRate: 0.2, DuplicateRate: 0.1, BreakRate: 0.2}, DeskSheds: {RefuseRate: 0.6}}
 	switch event.Fault {
 	case ReplicaLeaves:
 		run.startReplacement(target)
--- a/hatchstandin/replica.go
+++ b/hatchstandin/replica.go
@@ -68,6 +68,7 @@
 	LoseRate      float64 // run, then the connection is closed without a response
 	RefuseRate    float64 // refused with 503 and marked as not executed
 	DuplicateRate float64 // run, then the response is sent twice
+	BreakRate     float64 // run, then the head of the response is not valid HTTP
 }
 
 // PlainReplica is the stand-in for a replica of a plain service that uses the
@@ -171,24 +172,28 @@
 	case draw < faults.FailRate+faults.LoseRate:
 		panic(http.ErrAbortHandler)
 	case draw < faults.FailRate+faults.LoseRate+faults.DuplicateRate:
-		replica.respondTwice(writer, arrival.ID)
+		response := replica.rawResponse("HTTP/1.1 200 OK", arrival.ID, PlainResponseBody(arrival.ID))
+		sendRaw(writer, response+response)
+	case draw < faults.FailRate+faults.LoseRate+faults.DuplicateRate+faults.BreakRate:
+		begin := []string{"HTTP/1.1 000 Broken", "HTTP/1.1 200 OK\r\nNo Field: x"}[rand.IntN(2)]
+		sendRaw(writer, replica.rawResponse(begin, arrival.ID, "")+replica.rawResponse("HTTP/1.1 200 OK", arrival.ID, "broken"))
 	default:
 		fmt.Fprint(writer, PlainResponseBody(arrival.ID))
 	}
 }
 
-// respondTwice sends the response and then a second, unsolicited copy of it on
-// the same connection.
-func (replica *PlainReplica) respondTwice(writer http.ResponseWriter, id string) {
+// rawResponse returns the bytes of a response whose head begins with the given lines.
+func (replica *PlainReplica) rawResponse(begin, id, body string) string {
+	return fmt.Sprintf("%s\r\nServer-Seal: seal of %s\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", begin, replica.spec.ID, id, len(body), body)
+}
+
+// sendRaw sends the bytes in place of a response and closes the connection.
+func sendRaw(writer http.ResponseWriter, text string) {
 	conn, buffered, err := writer.(http.Hijacker).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
-	body := PlainResponseBody(id)
-	for range 2 {
-		fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nServer-Seal: seal of %s\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
-			replica.spec.ID, id, len(body), body)
-	}
-	_ = buffered.Flush() // the client may have disconnected
+	_, _ = buffered.WriteString(text) // the client may have disconnected
+	_ = buffered.Flush()
 }
