--- a/hatchhead/checker.go
+++ b/hatchhead/checker.go
@@ -16,7 +16,7 @@
 type Checker struct {
 	expected element
 	status   int    // of the head that is being read
-	isOld    bool   // the version of that head is HTTP/1.0
+	isHTTP10 bool   // the version of that head
 	line     []byte // the part of the current line that has arrived
 	err      error
 }
@@ -60,7 +60,7 @@
 			return errors.Newf("invalid status line %.64q", line)
 		}
 		checker.status, checker.expected = status, firstFieldLine
-		checker.isOld = strings.HasPrefix(line, "HTTP/1.0")
+		checker.isHTTP10 = strings.HasPrefix(line, "HTTP/1.0")
 	case line == "" && checker.status < http.StatusOK:
 		checker.expected = statusLine
 	case line == "":
@@ -74,7 +74,7 @@
 		if !found || !isField(name, value) {
 			return errors.Newf("invalid field line %.64q", line)
 		}
-		if checker.isOld && strings.EqualFold(name, "Transfer-Encoding") {
+		if checker.isHTTP10 && strings.EqualFold(name, "Transfer-Encoding") {
 			return errors.New("transfer encoding in a response of HTTP/1.0, which has none") // RFC 9112, section 6.1
 		}
 		checker.expected = nextFieldLine
--- a/hatchhead/readers_test.go
+++ b/hatchhead/readers_test.go
@@ -89,7 +89,7 @@
 
 func isLost(err error) bool { return dragonflyhatch.KindOf(err) == dragonflyhatch.KindUpstreamLost }
 
-func isUnknownWrite(err error) bool {
+func isUnknownOutcome(err error) bool {
 	return !errors.IsAny(err, dragonflyhatch.ErrVersionConflict, dragonflyhatch.ErrObjectMissing)
 }
 
@@ -142,7 +142,7 @@
 		{"store, get", object, func(ctx context.Context, address string) error {
 			_, err := platform.NewStore(address).Get(ctx, "leases/placement")
 			return err
-		}, isUnknownWrite},
+		}, isUnknownOutcome},
 		{"store, list", object, func(ctx context.Context, address string) error {
 			_, _, err := platform.NewStore(address).List(ctx, "leases/")
 			return err
@@ -154,14 +154,14 @@
 		{"store, create", object, func(ctx context.Context, address string) error {
 			_, err := platform.NewStore(address).Create(ctx, "leases/placement", []byte("{}"))
 			return err
-		}, isUnknownWrite},
+		}, isUnknownOutcome},
 		{"store, update", object, func(ctx context.Context, address string) error {
 			_, err := platform.NewStore(address).Update(ctx, "leases/placement", 6, []byte("{}"))
 			return err
-		}, isUnknownWrite},
+		}, isUnknownOutcome},
 		{"store, delete", object, func(ctx context.Context, address string) error {
 			return platform.NewStore(address).Delete(ctx, "leases/placement", 7)
-		}, isUnknownWrite},
+		}, isUnknownOutcome},
 		{"peer, order", "\x08\xc8\x01", func(ctx context.Context, address string) error {
 			_, err := peer.Order(ctx, address, order)
 			return err
