--- a/hatchstandin/replica.go
+++ b/hatchstandin/replica.go
@@ -189,11 +189,10 @@
 
 // sendRaw sends the bytes in place of a response and closes the connection.
 func sendRaw(writer http.ResponseWriter, text string) {
-	conn, buffered, err := writer.(http.Hijacker).Hijack()
+	conn, _, err := writer.(http.Hijacker).Hijack()
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
-	_, _ = buffered.WriteString(text) // the client may have disconnected
-	_ = buffered.Flush()
+	_, _ = io.WriteString(conn, text) // the client may have disconnected
 }
