--- a/hatchforward/fuzz_test.go
+++ b/hatchforward/fuzz_test.go
@@ -1,6 +1,7 @@
 package hatchforward
 
 import (
+	"bytes"
 	"log/slog"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"dragonflyhatch/platform"
 )
@@ -45,7 +47,7 @@
 	complete bool // the body is complete
 }
 
-// The grammar of heads (RFC 9112, sections 2 to 5), with bytes as code points.
+// The grammar of heads (RFC 9112, sections 2 to 5), with their bytes as code points.
 const (
 	reasonPattern     = `(?: [\t -~\x{80}-\x{ff}]*)?\r?\n`
 	fieldLinesPattern = "((?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:(?:[\\t -~\\x{80}-\\x{ff}]*\\r?\\n[\\t ])*[\\t -~\\x{80}-\\x{ff}]*\\r?\\n)*)\\r?\\n"
@@ -67,11 +69,7 @@
 		text[i] = rune(value)
 	}
 	rest := string(text)
-	for {
-		head := informationalHead.FindString(rest)
-		if head == "" {
-			break
-		}
+	for head := informationalHead.FindString(rest); head != ""; head = informationalHead.FindString(rest) {
 		rest = rest[len(head):]
 	}
 	match := finalHead.FindStringSubmatch(rest)
@@ -85,7 +83,7 @@
 		response.header.Add(name, strings.Trim(value, "\t "))
 	}
 	codings, lengths := response.header["Transfer-Encoding"], response.header["Content-Length"]
-	content := []rune(rest[len(match[0]):])
+	content := answer[len(answer)-utf8.RuneCountInString(rest[len(match[0]):]):]
 	switch {
 	case response.status == http.StatusNoContent || response.status == http.StatusNotModified:
 		response.complete = true
@@ -95,49 +93,39 @@
 		if len(codings) != 1 || !strings.EqualFold(strings.TrimSpace(codings[0]), "chunked") {
 			return nil
 		}
-		response.body, response.complete = readChunks(string(content))
+		response.body, response.complete = readChunks(content)
 	case lengths != nil:
 		length, err := strconv.ParseUint(strings.TrimSpace(lengths[0]), 10, 63)
 		if err != nil || slices.ContainsFunc(lengths, func(other string) bool { return strings.TrimSpace(other) != strings.TrimSpace(lengths[0]) }) {
 			return nil
 		}
 		response.complete = uint64(len(content)) >= length
-		response.body = toBytes(content[:min(uint64(len(content)), length)])
+		response.body = content[:min(uint64(len(content)), length)]
 	default:
-		response.body, response.complete = toBytes(content), true
+		response.body, response.complete = content, true
 	}
 	return response
 }
 
 // readChunks returns the content of a chunked body, and whether the body is complete.
-func readChunks(rest string) (body []byte, complete bool) {
+func readChunks(rest []byte) (body []byte, complete bool) {
 	for {
-		match := chunkSize.FindStringSubmatch(rest)
+		match := chunkSize.FindSubmatch(rest)
 		if match == nil {
 			return body, false
 		}
-		size, _ := strconv.ParseUint(match[1], 16, 64) // at most 16 digits
+		size, _ := strconv.ParseUint(string(match[1]), 16, 64) // at most 16 digits
 		rest = rest[len(match[0]):]
 		if size == 0 {
-			return body, trailerEnd.MatchString(rest)
+			return body, trailerEnd.Match(rest)
 		}
-		data := []rune(rest)
-		chunk := data[:min(uint64(len(data)), size)]
-		body = append(body, toBytes(chunk)...)
-		after, ended := strings.CutPrefix(string(data[len(chunk):]), "\r\n")
-		if !ended {
+		chunk := rest[:min(uint64(len(rest)), size)]
+		body = append(body, chunk...)
+		var ended bool
+		if rest, ended = bytes.CutPrefix(rest[len(chunk):], []byte("\r\n")); !ended {
 			return body, false
 		}
-		rest = after
-	}
-}
-
-func toBytes(text []rune) []byte {
-	data := make([]byte, len(text))
-	for i, value := range text {
-		data[i] = byte(value)
 	}
-	return data
 }
 
 // isAnswer reports whether the response is complete, answers the request with the id "id" and,
