--- a/hatchhead/readers_test.go
+++ b/hatchhead/readers_test.go
@@ -20,14 +20,14 @@
 	"dragonflyhatch/platform"
 )
 
-// rawServer answers each request by the bytes of respond and keeps the connection open.
+// rawServer answers each request by the same bytes and keeps the connection open.
 type rawServer struct {
 	listener net.Listener
 	requests atomic.Int32
 	conns    atomic.Int32
 
-	mu      sync.Mutex
-	respond func(conn net.Conn)
+	mu   sync.Mutex
+	text string // of the answer
 }
 
 func startRawServer(t *testing.T) *rawServer {
@@ -62,9 +62,11 @@
 		}
 		server.requests.Add(1)
 		server.mu.Lock()
-		respond := server.respond
+		text := server.text
 		server.mu.Unlock()
-		respond(conn)
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
 	}
 }
 
@@ -72,7 +74,7 @@
 func (server *rawServer) answer(text string) {
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	server.respond = func(conn net.Conn) { io.WriteString(conn, text) }
+	server.text = text
 }
 
 func (server *rawServer) address() string { return server.listener.Addr().String() }
