--- a/hatchforward/brokenhead_test.go
+++ b/hatchforward/brokenhead_test.go
@@ -98,7 +98,7 @@
 			}
 			all := newFleet("desk", one, two, good)
 			all.table = fleet.table
-			for i := range 4 { // one of the three is chosen at random
+			for i := range 4 {
 				id := fmt.Sprint("unsafe-", i)
 				got := sendRequest(newServer(t, all), "POST", "/unsafe/", id)
 				if ran(id) != 1 || got.status != http.StatusBadGateway && good.runsOf(id) != 1 {
@@ -177,9 +177,7 @@
 				}
 				return answerWell(conn, id, number)
 			})
-			fleet, routing := newFleet("desk", replica), testRouting()
-			routing.Routes[0].Target, routing.Routes[0].Timeout = time.Minute, 10*time.Second // no hedges
-			fleet.table = hatchroute.NewTable(routing)
+			fleet := newUnhedgedFleet(replica)
 			server := newServer(t, fleet)
 			for i := range requests {
 				id := fmt.Sprint("k-", i)
--- a/hatchforward/connections_test.go
+++ b/hatchforward/connections_test.go
@@ -127,9 +127,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			replica, registry := newFakeReplica(t, "r-1"), metrics.NewRegistry()
 			conns := replica.setKeepAlive(test.reply)
-			routing, fleet := testRouting(), newFleet("desk", replica)
-			routing.Routes[0].Target, routing.Routes[0].Timeout = time.Minute, 10*time.Second // no hedges, which open connections too
-			fleet.table = hatchroute.NewTable(routing)
+			fleet := newUnhedgedFleet(replica)
 			server := newServer(t, fleet, WithMetrics(registry))
 			served := 0
 			for i := range requests {
@@ -235,9 +233,7 @@
 			}
 			return answerWell(conn, id, number)
 		})
-		fleet, routing := newFleet("desk", replica), testRouting()
-		routing.Routes[0].Target, routing.Routes[0].Timeout = time.Minute, 10*time.Second
-		fleet.table = hatchroute.NewTable(routing)
+		fleet := newUnhedgedFleet(replica)
 		server := newServer(t, fleet)
 		convey.So(sendRequest(server, "GET", "/safe/", "alive").status, convey.ShouldEqual, 200)
 		got := sendRequest(server, "GET", "/safe/", "dead")
--- a/hatchforward/replica_test.go
+++ b/hatchforward/replica_test.go
@@ -293,6 +293,15 @@
 	return fleet
 }
 
+// newUnhedgedFleet returns a fleet whose plain service has the replica. Hedges, which open
+// connections too, are not due before a safe request times out.
+func newUnhedgedFleet(replica *fakeReplica) *fakeFleet {
+	fleet, routing := newFleet("desk", replica), testRouting()
+	routing.Routes[0].Target, routing.Routes[0].Timeout = time.Minute, 10*time.Second
+	fleet.table = hatchroute.NewTable(routing)
+	return fleet
+}
+
 // newServer starts an HTTP server with a forwarder.
 func newServer(t testCleaner, fleet Fleet, options ...Option) *httptest.Server {
 	forwarder := New(fleet, platform.Dialect{}, append([]Option{
--- a/hatchforward/resend_test.go
+++ b/hatchforward/resend_test.go
@@ -53,9 +53,7 @@
 				return answerWell(conn, id, number)
 			})
 			other.setKeepAlive(answerWell)
-			fleet, routing := newFleet("desk", replica), testRouting()
-			routing.Routes[0].Target, routing.Routes[0].Timeout = time.Minute, 10*time.Second // no hedges
-			fleet.table = hatchroute.NewTable(routing)
+			fleet := newUnhedgedFleet(replica)
 			server := newServer(t, fleet)
 			if got := sendRequest(server, "GET", "/safe/", "before"); got.status != http.StatusOK {
 				t.Fatalf("status %d", got.status)
@@ -178,9 +176,7 @@
 		}
 		return answerWell(conn, id, number)
 	})
-	fleet, routing := newFleet("desk", replica), testRouting()
-	routing.Routes[0].Target, routing.Routes[0].Timeout = time.Minute, 10*time.Second // no hedges
-	fleet.table = hatchroute.NewTable(routing)
+	fleet := newUnhedgedFleet(replica)
 	server := newServer(t, fleet)
 	node, now := fleet.view.NodeAt(replica.address()), time.Now()
 	node.RecordProgress(now.Add(-2 * time.Second))               // times before the start of the process are not due otherwise
