--- a/review/_third/main.go
+++ b/review/_third/main.go
@@ -11,6 +11,8 @@
 
 var cases = map[string]caseFunc{
 	"drill-release": drillRelease,
+	"odd-entry":     oddEntry,
+	"garbage":       garbageWithoutEnd,
 }
 
 func main() {
--- a/review/_third/store.go
+++ b/review/_third/store.go
@@ -366,11 +366,13 @@
 			"sticky": false, "resumable": false, "gap_target_ms": 0,
 		}
 	}
+	streamRoute := route("menu-help", "/chat/", "streaming", 20000)
+	streamRoute["resumable"], streamRoute["gap_target_ms"] = true, 200
 	return map[string]any{
 		"version": version,
 		"routes": []any{
 			route("place-order", "/order/", "unsafe", 3000), route("run-sheet", "/sheet/", "safe", 3000),
-			route("archive", "/archive/", "safe", 2000+version),
+			route("archive", "/archive/", "safe", 2000+version), streamRoute,
 		},
 		"services": []any{map[string]any{"name": "orders-app", "health_path": "/healthz", "max_connections": 192, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
