--- a/review/_third/main.go
+++ b/review/_third/main.go
@@ -13,6 +13,7 @@
 	"drill-release": drillRelease,
 	"odd-entry":     oddEntry,
 	"garbage":       garbageWithoutEnd,
+	"last-key":      lastKey,
 }
 
 func main() {
--- a/review/_third/requester.go
+++ b/review/_third/requester.go
@@ -87,8 +87,13 @@
 	return byID
 }
 
-// send sends one order or read to the daemon at the address.
+// send sends one order or read to the daemon at the address, with the key of the tenant.
 func (run *run) send(attempts *attempts, address, method, path, body string, limit time.Duration) *attempt {
+	return run.sendWithKey(attempts, address, method, path, body, tenantKey, limit)
+}
+
+// sendWithKey is send with another key.
+func (run *run) sendWithKey(attempts *attempts, address, method, path, body, key string, limit time.Duration) *attempt {
 	attempt := &attempt{id: fmt.Sprintf("%016x", rand.Uint64()), daemon: address, sent: time.Now()}
 	attempts.add(attempt)
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -100,7 +105,7 @@
 	request.Host = callerHostName
 	request.Header.Set("Attempt-Id", attempt.id)
 	request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
-	request.Header.Set("Authorization", "Bearer "+tenantKey)
+	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := client.Do(request)
 	if err == nil {
 		var text []byte
