hatchupstream: an engine's answer that breaks off states nothing

What callers saw: the client of the engines took an answer whose connection was reset in its body for a whole one: a 503 with Not-Run proved that a generation had not run, so that it could be sent to another engine, and a layer command, a cancellation, a load report and a state counted as answered. Cause: the client never read these bodies to their end, or dropped the error of the read. The store, the plain services, the control interface on the platform and the peers read whole bodies already.

--- a/hatchhead/readers_test.go
+++ b/hatchhead/readers_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +30,7 @@
 
 	mu   sync.Mutex
 	text string // of the answer
+	cut  bool   // the server answers before it has read the request's body, and resets the connection
 }
 
 func startRawServer(t *testing.T) *rawServer {
@@ -57,16 +60,25 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		server.mu.Lock()
+		text, cut := server.text, server.cut
+		server.mu.Unlock()
+		unread := io.Reader(request.Body)
+		if cut {
+			unread = io.LimitReader(request.Body, 1)
+		}
+		if _, err := io.Copy(io.Discard, unread); err != nil {
 			return
 		}
 		server.requests.Add(1)
-		server.mu.Lock()
-		text := server.text
-		server.mu.Unlock()
 		if _, err := io.WriteString(conn, text); err != nil {
 			return
 		}
+		if cut {
+			time.Sleep(2 * time.Millisecond) // until the client has read the text
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return
+		}
 	}
 }
 
@@ -74,7 +86,15 @@
 func (server *rawServer) answer(text string) {
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	server.text = text
+	server.text, server.cut = text, false
+}
+
+// answerCut sets the bytes that the server sends for each request before it resets the
+// connection.
+func (server *rawServer) answerCut(text string) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.text, server.cut = text, true
 }
 
 func (server *rawServer) address() string { return server.listener.Addr().String() }
@@ -96,13 +116,15 @@
 }
 
 // calls returns calls of all of the project's HTTP clients that read answers of other processes.
-func calls() []call {
+// Those that may be long carry the text.
+func calls(text string) []call {
 	engine, service, engines := hatchupstream.NewEngine(), hatchupstream.NewService(), platform.NewEngineClient()
 	peer, fleet := hatchpeer.NewClient(), hatchpeer.NewFleetClient(time.Second)
 	stages := func(address string) dragonflyhatch.Generation {
-		return dragonflyhatch.Generation{Pipeline: dragonflyhatch.Pipeline{Stages: []dragonflyhatch.Stage{{Address: address}}}}
+		return dragonflyhatch.Generation{Prompt: text, Pipeline: dragonflyhatch.Pipeline{Stages: []dragonflyhatch.Stage{{Address: address}}}}
 	}
-	order := dragonflyhatch.ServiceRequest{Method: http.MethodPost, Path: "/order", Key: "key", Body: []byte("{}")}
+	order := dragonflyhatch.ServiceRequest{Method: http.MethodPost, Path: "/order", Key: "key", Body: []byte(text)}
+	value := []byte(strconv.Quote(text))
 	const object = `{"metadata":{"name":"placement","revision":7},"spec":{},"items":[],"events":[],"as_of":7}`
 	return []call{
 		{"service, read", "{}", func(ctx context.Context, address string) error {
@@ -154,11 +176,11 @@
 			return err
 		}, nil},
 		{"store, create", object, func(ctx context.Context, address string) error {
-			_, err := platform.NewStore(address).Create(ctx, "leases/placement", []byte("{}"))
+			_, err := platform.NewStore(address).Create(ctx, "leases/placement", value)
 			return err
 		}, isUnknownOutcome},
 		{"store, update", object, func(ctx context.Context, address string) error {
-			_, err := platform.NewStore(address).Update(ctx, "leases/placement", 6, []byte("{}"))
+			_, err := platform.NewStore(address).Update(ctx, "leases/placement", 6, value)
 			return err
 		}, isUnknownOutcome},
 		{"store, delete", object, func(ctx context.Context, address string) error {
@@ -169,7 +191,7 @@
 			return err
 		}, func(err error) bool { return !errors.Is(err, hatchpeer.ErrUnreachable) }},
 		{"peer, heartbeat", "", func(ctx context.Context, address string) error {
-			_, err := peer.Heartbeat(ctx, address, dragonflyhatch.Heartbeat{})
+			_, err := peer.Heartbeat(ctx, address, dragonflyhatch.Heartbeat{Host: text})
 			return err
 		}, nil},
 		{"peer, configuration", "", func(ctx context.Context, address string) error {
@@ -177,7 +199,7 @@
 			return err
 		}, nil},
 		{"fleet, gossip", "", func(ctx context.Context, address string) error {
-			_, err := fleet.Gossip(ctx, address, dragonflyhatch.Gossip{})
+			_, err := fleet.Gossip(ctx, address, dragonflyhatch.Gossip{Suspects: []string{text}})
 			return err
 		}, nil},
 		{"fleet, snapshot", "", func(ctx context.Context, address string) error {
@@ -185,7 +207,7 @@
 			return err
 		}, nil},
 		{"fleet, slot", "", func(ctx context.Context, address string) error {
-			_, err := fleet.TakeSlot(ctx, address, dragonflyhatch.SlotRequest{})
+			_, err := fleet.TakeSlot(ctx, address, dragonflyhatch.SlotRequest{Process: dragonflyhatch.ReplicaProcess{ID: text}})
 			return err
 		}, nil},
 	}
@@ -215,7 +237,7 @@
 func TestBrokenAnswers(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	for _, call := range calls() {
+	for _, call := range calls("text") {
 		t.Run(call.name, func(t *testing.T) {
 			server := startRawServer(t)
 			rest := fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(call.body), call.body)
@@ -247,7 +269,7 @@
 func TestUnusualAnswers(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	for _, call := range calls() {
+	for _, call := range calls("text") {
 		server := startRawServer(t)
 		for _, head := range []string{
 			"HTTP/1.1 200\r\n",
@@ -263,3 +285,55 @@
 		}
 	}
 }
+
+// TestCutAnswers guards against answers that are cut by a reset, and that the clients take for
+// whole ones or for proof that the request did not run.
+func TestCutAnswers(t *testing.T) {
+	for _, request := range []struct {
+		name  string
+		text  string
+		tries int
+	}{
+		{"short", "text", 1},
+	} {
+		for _, call := range calls(request.text) {
+			t.Run(request.name+" request, "+call.name, func(t *testing.T) { testCutAnswers(t, call, request.tries) })
+		}
+	}
+}
+
+func testCutAnswers(t *testing.T, call call, tries int) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	server := startRawServer(t)
+	sound := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(call.body), call.body)
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n",
+		"HTTP/1.0 200 OK\r\n",
+		"HTTP/1.1 404 Not Found\r\n",
+		"HTTP/1.1 409 Conflict\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nNot-Run: true\r\n",
+	} {
+		if call.name == "engine, stream" && strings.Contains(head, "200") {
+			continue // its body is whole, as it ends with a finish frame
+		}
+		accepted, resent, failed := 0, 0, 0
+		for range tries {
+			server.answerCut(head + "Content-Type: application/json\r\n\r\n" + call.body)
+			requests, conns := server.requests.Load(), server.conns.Load()
+			if err := call.do(ctx, server.address()); err == nil || call.unknown != nil && !call.unknown(err) {
+				accepted++
+			}
+			if server.requests.Load()-requests > 1 {
+				resent++
+			}
+			server.answer(sound)
+			if err := call.do(ctx, server.address()); err != nil || server.conns.Load() == conns {
+				failed++ // or sent on the same connection
+			}
+		}
+		if accepted+resent+failed > 0 {
+			t.Errorf("%q: of %d tries %d accepted, %d sent again, %d with a next call that failed", head, tries, accepted, resent, failed)
+		}
+	}
+}
--- a/hatchupstream/engine.go
+++ b/hatchupstream/engine.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchhead"
 )
 
 // maxFrame is the maximum size of one stream frame in bytes.
@@ -83,7 +84,11 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return refusal(address, response)
+		text, err := hatchhead.ReadBody(response.Body, maxControlReply)
+		if err != nil {
+			return trace.failure(address, cancelCause(ctx, err))
+		}
+		return refusal(address, response, text)
 	}
 	frames := bufio.NewScanner(response.Body)
 	frames.Buffer(nil, maxFrame)
@@ -114,8 +119,8 @@
 
 // refusal returns the error for a response other than 200. Only a response with
 // the header Not-Run proves that the request did not run.
-func refusal(address string, response *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorText))
+func refusal(address string, response *http.Response, text []byte) error {
+	text = text[:min(len(text), maxErrorText)]
 	if response.Header.Get(headerNotRun) == "" {
 		return dragonflyhatch.Failf(dragonflyhatch.KindUpstreamLost, "%s: status %d: %s", address, response.StatusCode, text)
 	}
@@ -184,14 +189,17 @@
 		return err
 	}
 	defer response.Body.Close()
+	text, err := hatchhead.ReadBody(response.Body, maxControlReply)
 	switch {
+	case err != nil:
+		return errors.Wrap(err, address)
 	case response.StatusCode == http.StatusConflict:
 		return dragonflyhatch.Failf(dragonflyhatch.KindConflict, "%s has seen a higher fencing number", address)
 	case response.StatusCode != http.StatusOK:
-		return refusal(address, response)
+		return refusal(address, response, text)
 	}
 	if reply == nil {
 		return nil
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxControlReply)).Decode(reply)
+	return json.NewDecoder(bytes.NewReader(text)).Decode(reply)
 }
--- a/hatchupstream/service.go
+++ b/hatchupstream/service.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchhead"
 )
 
 // maxServiceReply is the maximum size of a plain service's response body in bytes.
@@ -52,13 +53,10 @@
 		return dragonflyhatch.ServiceReply{}, trace.failure(address, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceReply+1))
+	body, err := hatchhead.ReadBody(response.Body, maxServiceReply)
 	if err != nil {
 		return dragonflyhatch.ServiceReply{}, trace.failure(address, err)
 	}
-	if len(body) > maxServiceReply {
-		return dragonflyhatch.ServiceReply{}, dragonflyhatch.Failf(dragonflyhatch.KindUpstreamLost, "%s: the response body is too large", address)
-	}
 	if response.Header.Get(headerNotRun) != "" {
 		return dragonflyhatch.ServiceReply{}, dragonflyhatch.Failf(dragonflyhatch.KindUpstreamRefused, "%s: %.*s", address, maxErrorText, body)
 	}
