hatchhead: a reset that a write meets does not end an answer

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written; the caller got the part as a complete answer. Streams ended as complete before their last event. A 503 with Not-Executed that was cut like this was believed, and the unsafe request was sent to a second replica though it may have run. The clients of the plain services, the engines, the store and the peers took such answers too. Cause: Linux reports a reset to one system call. If that is the write of the upload, the read returns the end of the connection, which ends a body without a length. hatchforward's exchange dropped the error of the write; net/http returns a response that has begun before it looks at it. Change: hatchhead.Conn, under all readers, keeps the error of the first write that failed and returns it at the end of the connection. If the request is still being written then, it waits for that for up to 200 ms and then ends the write, which may be blocked: a write that met the reset returns its error, and one that has not shows that the upstream has closed its direction only. Why it works: the write that took the reset began before the read returned, so its error is always known when the write has returned. Refused too is an answer whose end is followed by a reset within the wait, as of a process that ended.

--- a/hatchforward/exchange.go
+++ b/hatchforward/exchange.go
@@ -46,7 +46,7 @@
 // exchange is one request and its response on a connection that no other exchange uses
 // at the same time.
 type exchange struct {
-	conn          net.Conn
+	conn          *hatchhead.Conn
 	source        headReader // what reader reads from
 	reader        *bufio.Reader
 	response      *http.Response
@@ -99,7 +99,8 @@
 
 // newExchange sends the request on the connection and reads the status line and headers of
 // the response. The connection is closed when ctx is done.
-func newExchange(ctx context.Context, conn net.Conn, request outgoingRequest) (*exchange, error) {
+func newExchange(ctx context.Context, rawConn net.Conn, request outgoingRequest) (*exchange, error) {
+	conn := hatchhead.NewConn(rawConn)
 	replicaExchange := &exchange{conn: conn, source: headReader{conn: conn}, reader: readerPool.Get().(*bufio.Reader)}
 	replicaExchange.reader.Reset(&replicaExchange.source)
 	replicaExchange.detachContext = context.AfterFunc(ctx, func() { conn.Close() })
@@ -129,13 +130,18 @@
 		head = append(head, request.body...)
 		request.body = nil
 	}
-	_, writeErr := exchange.conn.Write(head)
+	conn := exchange.conn
+	conn.BeginRequest()
+	_, writeErr := conn.Write(head)
 	if writeErr == nil && len(request.body) > 0 {
 		go func() {
+			defer conn.EndRequest()
 			// After a write error the replica sends an error response or none, which
-			// the loop below notices.
-			_, _ = exchange.conn.Write(request.body)
+			// the loop below notices, and a read that finds the end of the connection fails.
+			_, _ = conn.Write(request.body)
 		}()
+	} else {
+		conn.EndRequest()
 	}
 	for {
 		response, err := http.ReadResponse(exchange.reader, &http.Request{Method: request.method})
@@ -176,7 +182,7 @@
 	if !exchange.detachContext() {
 		return nil
 	}
-	conn := exchange.conn
+	conn := exchange.conn.Conn
 	exchange.conn = nil
 	return conn
 }
--- a/hatchhead/transport.go
+++ b/hatchhead/transport.go
@@ -6,10 +6,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
-// Transport is an http.Transport that fails a request whose response has an invalid head,
-// and closes its connection. The request may have run. It is for HTTP without TLS.
+// Transport is an http.Transport that fails a request whose response has an invalid head or is
+// cut by a reset, and closes its connection. The request may have run. It is for HTTP without TLS.
 type Transport struct {
 	*http.Transport
 }
@@ -23,24 +24,34 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: conn}, nil
+		return &checkedConn{Conn: NewConn(conn)}, nil
 	}
 	return &Transport{transport}
 }
 
 // RoundTrip sends the request and returns the response to it.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*checkedConn); ok {
-			conn.expectHead()
-		}
-	}}
+	var current atomic.Pointer[checkedConn] // the transport may replace it if nothing was written
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*checkedConn); ok {
+				conn.expectHead()
+				conn.BeginRequest()
+				current.Store(conn)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if conn := current.Load(); conn != nil {
+				conn.EndRequest()
+			}
+		},
+	}
 	return transport.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 }
 
 // checkedConn is a connection whose reads fail at an invalid head.
 type checkedConn struct {
-	net.Conn
+	*Conn
 
 	mu      sync.Mutex
 	checker Checker
