--- a/hatchforward/exchange.go
+++ b/hatchforward/exchange.go
@@ -133,15 +133,15 @@
 	conn := exchange.conn
 	conn.BeginRequest()
 	_, writeErr := conn.Write(head)
-	if writeErr == nil && len(request.body) > 0 {
+	if writeErr != nil || len(request.body) == 0 {
+		conn.EndRequest()
+	} else {
 		go func() {
 			defer conn.EndRequest()
 			// After a write error the replica sends an error response or none, which
-			// the loop below notices, and a read that finds the end of the connection fails.
+			// the loop below notices; conn fails the read that finds its end.
 			_, _ = conn.Write(request.body)
 		}()
-	} else {
-		conn.EndRequest()
 	}
 	for {
 		response, err := http.ReadResponse(exchange.reader, &http.Request{Method: request.method})
