--- a/hatchhead/transport.go
+++ b/hatchhead/transport.go
@@ -40,7 +40,7 @@
 				current.Store(conn)
 			}
 		},
-		WroteRequest: func(httptrace.WroteRequestInfo) {
+		WroteRequest: func(httptrace.WroteRequestInfo) { // but for what the transport still has to flush
 			if conn := current.Load(); conn != nil {
 				conn.EndRequest()
 			}
