hatchevent: bytes of a replica that are no events are not forwarded

Cause: the gateway took whatever ends with an empty line for an event, for progress of the stream and of its replicas, and any line that begins with "id:" for the position at which the stream resumes. Change: hatchevent.Splitter, which takes the place of eventSplitter, checks each line: fields, UTF-8, control characters, and ids that increase from the position of a resumed stream on. At the first byte that can be no part of an event the attempt ends; the events before it are forwarded and the stream resumes after them. The replica that sent the bytes is at fault. The name of the platform's own field comes from the dialect. Why it works: only whole events that passed the check leave the splitter, and the resume position, progress and health follow from these alone. FuzzStreamResponse compares with an oracle that does not call the splitter, and asks for all sound events of a stream that is cut.

--- a/gateway.go
+++ b/gateway.go
@@ -228,6 +228,9 @@
 	// EndToEndHeaders returns the headers of a replica's response that are forwarded
 	// to the caller.
 	EndToEndHeaders(header http.Header) http.Header
+	// EventField returns the name of the field, with a number as its value, that may
+	// come first in an event of a replica's stream.
+	EventField() string
 	// SetRetryAfter sets the header with the time after which the caller may retry.
 	SetRetryAfter(header http.Header, after time.Duration)
 }
--- a/hatchforward/badreplica_test.go
+++ b/hatchforward/badreplica_test.go
@@ -164,6 +164,9 @@
 		return func(conn net.Conn, id string) {
 			io.WriteString(conn, streamHead(id))
 			writeChunk(conn, eventText(1))
+			if !strings.HasSuffix(piece, "\n") {
+				writeChunk(conn, "data: ") // of an event without an end
+			}
 			for {
 				time.Sleep(20 * time.Millisecond)
 				if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(piece), piece); err != nil {
--- a/hatchforward/fuzz_test.go
+++ b/hatchforward/fuzz_test.go
@@ -14,6 +14,7 @@
 	"time"
 	"unicode/utf8"
 
+	"dragonflyhatch/hatchstandin"
 	"dragonflyhatch/platform"
 )
 
@@ -145,6 +146,7 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid",
 	"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nid: \r\n8\r\n1\ndata\n\n\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\nid: 1\ndata: b\n\nid: 3\n\n",
 	"HTTP/1.1 000 Broken\r\n\r\nHTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 2\r\n\r\n\n\n",
 	"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\nhello",
 	"HTTP/2.0 200 OK\r\nServer-Seal: s\r\n\r\nhello",
@@ -174,8 +176,8 @@
 	})
 }
 
-// FuzzStreamResponse checks that a caller gets whole events of the replica's stream, in
-// order and from its beginning, and a complete response only for a complete stream.
+// FuzzStreamResponse checks that a caller gets the events of the replica's stream up to the first
+// bytes that are none, and a complete response only for a complete stream.
 func FuzzStreamResponse(f *testing.F) {
 	for _, seed := range fuzzSeeds {
 		f.Add([]byte(seed))
@@ -191,14 +193,15 @@
 			t.Fatalf("%.300q: the caller got %d %.100q", answer, got.status, got.body)
 		}
 		body, complete := string(response.body), response.isAnswer()
+		sound := string(hatchstandin.SoundEvents(response.body, "weight-versions"))
 		switch {
 		case !isEventStream(response.header):
 			if !complete || got.complete && got.body != body {
 				t.Fatalf("%.300q: the caller got %d %.100q", answer, got.status, got.body)
 			}
-		case got.complete && (!complete || got.body != body):
+		case got.complete && (!complete || got.body != body || sound != body):
 			t.Fatalf("%.300q: complete, but with %.100q", answer, got.body)
-		case !strings.HasPrefix(body, got.body) || got.body != "" && lastEventEnd([]byte(got.body)) != len(got.body):
+		case !got.complete && got.body != sound:
 			t.Fatalf("%.300q: the caller got %.100q", answer, got.body)
 		}
 	})
--- a/hatchforward/stream.go
+++ b/hatchforward/stream.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyhatch"
+	"dragonflyhatch/hatchevent"
 	"dragonflyhatch/hatchpath"
 	"dragonflyhatch/hatchretry"
 )
@@ -283,6 +284,7 @@
 		started := time.Now()
 		err := stream.forwardEvents(replicaExchange, watch)
 		if err == nil {
+			head.RecordOutcome(false)
 			stream.forwarder.recordRunTime(stream.service.Name, time.Since(started))
 			stream.forwarder.recordTokenTime(stream.service.Name, stream.info.OutputTokens, time.Since(stream.started))
 		}
@@ -387,7 +389,8 @@
 }
 
 // diagnoseFailure returns the failure of an attempt that broke off, and the
-// addresses at fault. If no dead replica is found, that is the head's address.
+// addresses at fault. If the head has sent bytes that are no events, or no dead replica
+// is found, that is the head's address.
 func (stream *stream) diagnoseFailure(pipeline *hatchpath.Pipeline, watch *watch, err error) (*dragonflyhatch.Failure, []string) {
 	if stream.ctx.Err() != nil {
 		return dragonflyhatch.FailureOf(err), nil
@@ -401,6 +404,10 @@
 		failure.Detail = reason
 	}
 	stream.prepaid = prepaid
+	if errors.Is(err, hatchevent.ErrInvalid) {
+		pipeline.Nodes[0].RecordOutcome(true)
+		return failure, []string{pipeline.Nodes[0].Address}
+	}
 	if len(culprits) == 0 { // the head first: if it is dead, the others are not probed
 		culprits = stream.forwarder.prober.check(stream.ctx, pipeline.Nodes[:1], pipeline.Nodes[0])
 	}
@@ -418,12 +425,12 @@
 func (stream *stream) forwardEvents(replicaExchange *exchange, watch *watch) error {
 	body := replicaExchange.response.Body
 	buffer := make([]byte, streamBufferSize)
-	var splitter eventSplitter
+	splitter := stream.newSplitter()
 	for {
 		watch.startWaiting()
 		count, err := body.Read(buffer)
-		events, id, eventErr := splitter.add(buffer[:count])
-		progress := carryData(events)
+		events, eventErr := splitter.Add(buffer[:count])
+		progress := events.HasData
 		watch.recordRead(progress)
 		if progress {
 			stream.events++
@@ -431,31 +438,41 @@
 		if progress && stream.events == answeredEvents {
 			stream.recordAnswer()
 		}
-		if eventErr != nil {
-			return eventErr
-		}
-		if len(events) > 0 {
-			if writeErr := stream.writeEvents(replicaExchange, events, id); writeErr != nil {
+		if len(events.Text) > 0 {
+			if writeErr := stream.writeEvents(replicaExchange, events); writeErr != nil {
 				return writeErr
 			}
 		}
+		if eventErr != nil {
+			return eventErr
+		}
 		if err == nil {
 			continue
 		}
 		if !errors.Is(err, io.EOF) {
 			return err
 		}
-		return stream.complete(replicaExchange, splitter.rest())
+		return stream.complete(replicaExchange, splitter.Rest())
 	}
 }
 
-// complete ends a stream that the replica has ended without an error. The rest is
-// data after the last complete event; it must be empty.
-func (stream *stream) complete(replicaExchange *exchange, rest []byte) error {
-	if len(rest) > 0 {
-		return errors.Newf("the stream ended inside an event, after %d bytes of it", len(rest))
+// newSplitter returns a splitter for the next attempt. A caller may name any event on a route whose
+// streams cannot be resumed, as replicas then ignore it.
+func (stream *stream) newSplitter() *hatchevent.Splitter {
+	options := []hatchevent.Option{hatchevent.WithLeadingField(stream.forwarder.dialect.EventField())}
+	if stream.route.Resumable {
+		options = append(options, hatchevent.WithResumption(stream.resumeAfter))
+	}
+	return hatchevent.NewSplitter(options...)
+}
+
+// complete ends a stream that the replica has ended without an error. The rest is the number of
+// bytes after the last complete event; there must be none.
+func (stream *stream) complete(replicaExchange *exchange, rest int) error {
+	if rest > 0 {
+		return errors.Newf("the stream ended inside an event, after %d bytes of it", rest)
 	}
-	if err := stream.writeEvents(replicaExchange, nil, ""); err != nil { // sends the headers if there were no events
+	if err := stream.writeEvents(replicaExchange, hatchevent.Events{}); err != nil { // sends the headers if there were no events
 		return err
 	}
 	if stream.events < answeredEvents {
@@ -467,7 +484,7 @@
 
 // writeEvents sends complete events to the caller. It sends the headers of the
 // replica's response first if no headers were sent yet.
-func (stream *stream) writeEvents(replicaExchange *exchange, events []byte, lastEventID string) error {
+func (stream *stream) writeEvents(replicaExchange *exchange, events hatchevent.Events) error {
 	if !stream.headersSent {
 		copyHeader(stream.writer.Header(), stream.forwarder.dialect.EndToEndHeaders(replicaExchange.response.Header))
 		stream.announceStop()
@@ -476,15 +493,15 @@
 		stream.attempts.RecordDelivery()
 		stream.forwarder.metricSet.recordFirstEvent(time.Since(stream.started))
 	}
-	if _, err := stream.writer.Write(events); err != nil {
+	if _, err := stream.writer.Write(events.Text); err != nil {
 		return errCallerDisconnected
 	}
 	if stream.flusher != nil {
 		stream.flusher.Flush()
 	}
 	stream.recordPause()
-	if lastEventID != "" {
-		stream.lastEventID, stream.resumeAfter = lastEventID, lastEventID
+	if events.LastID != "" {
+		stream.lastEventID, stream.resumeAfter = events.LastID, events.LastID
 	}
 	return nil
 }
--- a/hatchpath/health.go
+++ b/hatchpath/health.go
@@ -300,6 +300,11 @@
 func (health *Health) RecordResponse(now time.Time, elapsed time.Duration, failed bool) {
 	health.MarkReachable(now)
 	health.latency.add(elapsed.Seconds())
+	health.RecordOutcome(failed)
+}
+
+// RecordOutcome records whether a request to the replica was a failure.
+func (health *Health) RecordOutcome(failed bool) {
 	if failed {
 		health.failureRate.add(1)
 	} else {
