hatchupstream: a frame of another request or without text in UTF-8 is none

Cause: encoding/json replaces invalid bytes and leaves missing fields at zero, and the watchdog was reset before the line was read. Change: decodeFrame asks for UTF-8, JSON and the request's id; any other line ends the attempt as lost, and only frames reset the watchdog.

--- a/hatchupstream/engine.go
+++ b/hatchupstream/engine.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -93,11 +94,11 @@
 	frames := bufio.NewScanner(response.Body)
 	frames.Buffer(nil, maxFrame)
 	for frames.Scan() {
-		watchdog.reset()
-		var frame dragonflyhatch.Frame
-		if err := json.Unmarshal(frames.Bytes(), &frame); err != nil {
+		frame, err := decodeFrame(frames.Bytes(), generation.Request)
+		if err != nil {
 			return trace.failure(address, err)
 		}
+		watchdog.reset()
 		if err := emit(frame); err != nil {
 			return err
 		}
@@ -108,6 +109,21 @@
 	return trace.failure(address, cancelCause(ctx, errors.CombineErrors(frames.Err(), io.ErrUnexpectedEOF)))
 }
 
+// decodeFrame decodes a line of a stream. It fails if the line is no frame of the request.
+func decodeFrame(line []byte, request string) (dragonflyhatch.Frame, error) {
+	var frame dragonflyhatch.Frame
+	if !utf8.Valid(line) { // encoding/json would replace the bytes that are not
+		return frame, errors.Newf("frame with bytes that are no UTF-8: %.64q", line)
+	}
+	if err := json.Unmarshal(line, &frame); err != nil {
+		return frame, errors.Wrapf(err, "frame %.64q", line)
+	}
+	if frame.Request != request {
+		return frame, errors.Newf("frame of another request: %.64q", line)
+	}
+	return frame, nil
+}
+
 // cancelCause returns the cause of the context's cancellation, or err if the
 // context is not cancelled.
 func cancelCause(ctx context.Context, err error) error {
