hatchgateway: a process whose lease a peer has announced first leads

What callers saw: after a lost answer to the write of the lease, or after the store came back with a lease of before, a fleet could stay without a leader; layers of crashed engines were placed nowhere and requests refused. Cause: a peer reads the lease, announces its holder and term, and the holder merges that before it has read the lease itself. becomeLeader then ignored the term as known already, on each try. Evidence: TestLeaderNamedByPeer fails on: the holder of the lease does not lead. Change: becomeLeader ignores a term that is older, or that is another host's. Why it works: the caller has read in the store that this process holds the lease in that term, or has written it, and a term has one holder.

--- a/hatchgateway/leader.go
+++ b/hatchgateway/leader.go
@@ -209,11 +209,12 @@
 }
 
 // becomeLeader records that this daemon acquired the lease, unless a leader of a
-// newer term is known.
+// newer term is known. A peer may have announced this daemon's own term before.
 func (gateway *Gateway) becomeLeader(term uint64) {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	if term <= gateway.leader.term && !gateway.leader.isSelf {
+	known := gateway.leader
+	if term < known.term || term == known.term && known.host != gateway.settings.Host {
 		return
 	}
 	gateway.leader = leadership{host: gateway.settings.Host, term: term, isSelf: true, barredUntil: gateway.leader.barredUntil}
--- a/hatchgateway/leader_test.go
+++ b/hatchgateway/leader_test.go
@@ -102,3 +102,24 @@
 		convey.So(gateway.isLeader(), convey.ShouldBeTrue)
 	})
 }
+
+// TestLeaderNamedByPeer guards against a process that holds the lease and does not lead, as a
+// peer has announced its term before it has read the lease itself.
+func TestLeaderNamedByPeer(t *testing.T) {
+	server := httptest.NewServer(hatchstandin.NewPlatform().Handler())
+	defer server.Close()
+	ctx := context.Background()
+	gateway := New(&platform.Settings{Host: "a", PeerAddress: "127.0.0.1:1", StoreAddress: server.Listener.Addr().String()})
+	value, err := json.Marshal(lease{Host: "a", Process: gateway.roster.Self().Process})
+	if err != nil {
+		t.Fatal(err)
+	}
+	term, err := gateway.store.Create(ctx, leaseName, value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gateway.mergeLeader("a", term)
+	if err := gateway.acquireLease(ctx, time.Now()); err != nil || !gateway.isLeader() {
+		t.Errorf("the holder of the lease leads: %t, %v", gateway.isLeader(), err)
+	}
+}
