platform: versions of the store are ordered by its era first

What callers saw: after the store came back from an older copy, daemons ignored drains and new replicas. Orders were sent to a replica seconds after the store had acknowledged that it drains, and lost at its exit (502); after a release all were refused (503) although three new replicas were ready. Cause: revisions were taken as ever-increasing. The store's revisions go back with the copy, so that each listing, change and message about registrations was older than what was known, while the reads counted as fresh knowledge. Change: a version is the era (Store-Era) and the revision in one number, ordered by era first. platform.Store converts, reads a listing within one era, ends watches of a past one and neither sends nor believes conditional writes of it. When an era begins, replicaSet keeps missing registrations for the grace of an outage and drains that were known, holds processes back that it had removed, and has the placement wait; the leader takes the lease of the era.

--- /dev/null
+++ b/hatchgateway/era_test.go
@@ -0,0 +1,468 @@
+package hatchgateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dragonflyhatch"
+	"dragonflyhatch/hatchstandin"
+	"dragonflyhatch/platform"
+)
+
+// storeModel is a store of registrations that may come back from an older copy.
+type storeModel struct {
+	era      uint64
+	revision uint64
+	entries  map[string]dragonflyhatch.Replica
+	changes  []dragonflyhatch.ReplicaChange // of the era, and those that its copy had
+}
+
+func (store *storeModel) version(revision uint64) uint64 {
+	version, _ := dragonflyhatch.StoreVersion(store.era, revision)
+	return version
+}
+
+func (store *storeModel) write(replica dragonflyhatch.Replica, removed bool) {
+	known, exists := store.entries[replica.ID]
+	replica.Revision = known.Revision
+	if removed && !exists || !removed && exists && known == replica {
+		return
+	}
+	store.revision++
+	replica.Revision = store.revision
+	store.entries[replica.ID] = replica
+	if removed {
+		delete(store.entries, replica.ID)
+	}
+	store.changes = append(store.changes, dragonflyhatch.ReplicaChange{Replica: replica, Removed: removed})
+}
+
+func (store *storeModel) copy() storeModel {
+	copied := *store
+	copied.entries, copied.changes = maps.Clone(store.entries), slices.Clone(store.changes)
+	return copied
+}
+
+// listing returns the registrations as the client of the store does.
+func (store *storeModel) listing() (list []dragonflyhatch.Replica, version uint64) {
+	for _, replica := range store.entries {
+		replica.Revision = store.version(replica.Revision)
+		list = append(list, replica)
+	}
+	return list, store.version(store.revision)
+}
+
+// eraDaemon is what a daemon knows.
+type eraDaemon struct {
+	set       replicaSet
+	watchFrom uint64 // 0 if it has not listed the registrations
+	began     time.Time
+	atBegin   []dragonflyhatch.Replica                 // known when the era began
+	leaving   map[string]dragonflyhatch.ReplicaProcess // known to be leaving
+}
+
+// eraFleet is a store, its replicas and daemons, and messages in transit, in virtual time.
+type eraFleet struct {
+	t        *rapid.T
+	now      time.Time
+	store    storeModel
+	replicas map[string]dragonflyhatch.Replica // that live, as they describe themselves
+	copies   []storeModel
+	rewrites map[string]time.Time // when a replica, or the removal of one, is written again
+	daemons  []*eraDaemon
+	messages []eraMessage
+}
+
+type eraMessage struct {
+	from, to int
+	gossip   dragonflyhatch.Gossip
+}
+
+func newEraFleet(t *rapid.T) *eraFleet {
+	fleet := &eraFleet{t: t, now: time.Unix(1000, 0), replicas: make(map[string]dragonflyhatch.Replica), rewrites: make(map[string]time.Time)}
+	fleet.store = storeModel{era: 1, revision: 10, entries: make(map[string]dragonflyhatch.Replica)}
+	for range rapid.IntRange(2, 4).Draw(t, "daemons") {
+		fleet.daemons = append(fleet.daemons, &eraDaemon{set: newReplicaSet(), leaving: make(map[string]dragonflyhatch.ReplicaProcess)})
+	}
+	return fleet
+}
+
+// list has a daemon read all registrations.
+func (fleet *eraFleet) list(daemon *eraDaemon) {
+	list, version := fleet.store.listing()
+	fleet.apply(daemon, func() { daemon.set.replace(list, version, fleet.now) })
+	daemon.watchFrom = version
+}
+
+// watch has a daemon read the changes since its last read, or all registrations if the store is
+// in another era.
+func (fleet *eraFleet) watch(daemon *eraDaemon) {
+	if daemon.watchFrom == 0 || dragonflyhatch.EraOf(daemon.watchFrom) != fleet.store.era {
+		fleet.list(daemon)
+		return
+	}
+	var changes []dragonflyhatch.ReplicaChange
+	for _, change := range fleet.store.changes {
+		if change.Replica.Revision = fleet.store.version(change.Replica.Revision); change.Replica.Revision > daemon.watchFrom {
+			changes = append(changes, change)
+		}
+	}
+	version := fleet.store.version(fleet.store.revision)
+	fleet.apply(daemon, func() {
+		daemon.set.applyWatched(changes, version, fleet.now)
+		daemon.set.expire(fleet.now)
+	})
+	daemon.watchFrom = version
+}
+
+// send puts a daemon's gossip in transit.
+func (fleet *eraFleet) send(from, to int) {
+	set := &fleet.daemons[from].set
+	fleet.messages = append(fleet.messages, eraMessage{from, to, set.gossip(fleet.now, fleet.daemons[to].set.completeVersion)})
+}
+
+// deliver has a daemon merge a message, and fetch the sender's snapshot if that is newer.
+func (fleet *eraFleet) deliver(message eraMessage) {
+	daemon, sender := fleet.daemons[message.to], &fleet.daemons[message.from].set
+	fleet.apply(daemon, func() {
+		daemon.set.observeVersion(message.gossip.ReplicasVersion)
+		daemon.set.applyUpdates(message.gossip, fleet.now)
+		if version := sender.announced(); message.gossip.ReplicasVersion > daemon.set.completeVersion && version > daemon.set.completeVersion {
+			daemon.set.applySnapshot(sender.snapshot(fleet.now), version, fleet.now)
+			daemon.set.version = max(daemon.set.version, version)
+		}
+	})
+}
+
+// apply changes what a daemon knows and checks the change.
+func (fleet *eraFleet) apply(daemon *eraDaemon, change func()) {
+	before, listBefore := daemon.set.completeVersion, daemon.set.list()
+	change()
+	if daemon.set.completeVersion < before {
+		fleet.t.Fatalf("version %d after %d", daemon.set.completeVersion, before)
+	}
+	if before > 0 && dragonflyhatch.EraOf(daemon.set.completeVersion) > dragonflyhatch.EraOf(before) {
+		daemon.began, daemon.atBegin = fleet.now, listBefore
+	}
+	known := daemon.set.byID
+	if fleet.now.Sub(daemon.began) < reregistrationGrace {
+		for _, replica := range daemon.atBegin {
+			if _, ok := known[replica.ID]; !ok && fleet.replicas[replica.ID].Process() == replica.Process() {
+				fleet.t.Fatalf("replica %s lives, but was dropped %s after the era began", replica.ID, fleet.now.Sub(daemon.began))
+			}
+		}
+	}
+	for id, process := range daemon.leaving {
+		if known[id].Process() != process {
+			delete(daemon.leaving, id)
+		} else if !known[id].Leaving {
+			fleet.t.Fatalf("replica %s leaves, but is used again", id)
+		}
+	}
+	for id, replica := range known {
+		if replica.Leaving {
+			daemon.leaving[id] = replica.Process()
+		}
+	}
+}
+
+// restore brings the store back from a copy. What replicas wrote is written again, and what has
+// left is removed again.
+func (fleet *eraFleet) restore(copied storeModel) {
+	era := fleet.store.era + 1
+	fleet.store = copied.copy()
+	fleet.store.era = era
+	for id := range fleet.store.entries {
+		fleet.rewrites[id] = fleet.now.Add(time.Duration(rapid.IntRange(0, 3600).Draw(fleet.t, "removal")) * time.Millisecond)
+	}
+	for id := range fleet.replicas {
+		fleet.rewrites[id] = fleet.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(fleet.t, "rewrite")) * time.Millisecond)
+	}
+}
+
+// advance lets time pass.
+func (fleet *eraFleet) advance(duration time.Duration) {
+	fleet.now = fleet.now.Add(duration)
+	for id, at := range fleet.rewrites {
+		if !fleet.now.Before(at) {
+			replica, lives := fleet.replicas[id]
+			replica.ID = id
+			fleet.store.write(replica, !lives)
+			delete(fleet.rewrites, id)
+		}
+	}
+}
+
+// step carries out one random event.
+func (fleet *eraFleet) step() {
+	t := fleet.t
+	fleet.advance(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+	daemon := rapid.IntRange(0, len(fleet.daemons)-1).Draw(t, "daemon")
+	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "replica")
+	replica, lives := fleet.replicas[id]
+	switch rapid.SampledFrom([]string{"start", "change", "drain", "leave", "copy", "restore", "list", "watch", "watch", "send", "send", "deliver", "deliver", "lose"}).Draw(t, "event") {
+	case "start":
+		if !lives {
+			fleet.replicas[id] = dragonflyhatch.Replica{ID: id, Address: id + ":1", Started: fleet.now.UnixMilli()}
+			fleet.store.write(fleet.replicas[id], false)
+		}
+	case "change":
+		if lives {
+			replica.Slots++
+			fleet.replicas[id] = replica
+			fleet.store.write(replica, false)
+		}
+	case "drain":
+		if lives {
+			replica.Leaving = true
+			fleet.replicas[id] = replica
+			fleet.store.write(replica, false)
+		}
+	case "leave":
+		delete(fleet.replicas, id)
+		fleet.store.write(dragonflyhatch.Replica{ID: id}, true)
+	case "copy":
+		fleet.copies = append(fleet.copies, fleet.store.copy())
+	case "restore":
+		if len(fleet.copies) > 0 {
+			fleet.restore(rapid.SampledFrom(fleet.copies).Draw(t, "copy"))
+		}
+	case "list":
+		fleet.list(fleet.daemons[daemon])
+	case "watch":
+		fleet.watch(fleet.daemons[daemon])
+	case "send":
+		fleet.send(daemon, (daemon+1)%len(fleet.daemons))
+	case "deliver", "lose":
+		if len(fleet.messages) > 0 {
+			at := rapid.IntRange(0, len(fleet.messages)-1).Draw(t, "message")
+			message := fleet.messages[at]
+			fleet.messages = slices.Delete(fleet.messages, at, at+1)
+			if rapid.Bool().Draw(t, "arrives") {
+				fleet.deliver(message)
+			}
+		}
+	}
+}
+
+// TestRegistrationsAcrossEras guards against daemons that ignore the store, undo what is known or
+// block each other after the store came back from an older copy.
+func TestRegistrationsAcrossEras(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := newEraFleet(t)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			fleet.step()
+		}
+		for _, message := range fleet.messages { // late
+			fleet.deliver(message)
+		}
+		for range 4 { // one daemon follows the store, and all exchange gossip
+			fleet.advance(2 * time.Second)
+			fleet.watch(fleet.daemons[0])
+			for range fleet.daemons {
+				for from := range fleet.daemons {
+					fleet.messages = nil
+					fleet.send(from, (from+1)%len(fleet.daemons))
+					fleet.deliver(fleet.messages[0])
+				}
+			}
+		}
+		for _, daemon := range fleet.daemons {
+			if daemon.set.digest() != fleet.daemons[0].set.digest() { // its knowledge is not confirmed by gossip, so it reads the store
+				fleet.list(daemon)
+			}
+		}
+		fleet.advance(reregistrationGrace)
+		for number, daemon := range fleet.daemons {
+			daemon.set.expire(fleet.now)
+			got, want := make(map[string]dragonflyhatch.Replica), fleet.replicas
+			for _, replica := range daemon.set.usable(fleet.now.Add(restoredEntryDelay)) {
+				replica.Revision = 0
+				got[replica.ID] = replica
+			}
+			if !maps.Equal(got, want) {
+				t.Fatalf("daemon %d knows %v, want %v", number, got, want)
+			}
+		}
+	})
+}
+
+// TestRestoredRemovals guards against requests to a replica that was removed and is registered
+// again only since the store came back from an older copy.
+func TestRestoredRemovals(t *testing.T) {
+	now := time.Now()
+	version := func(era, revision uint64) uint64 {
+		version, _ := dragonflyhatch.StoreVersion(era, revision)
+		return version
+	}
+	for name, test := range map[string]struct {
+		restored    dragonflyhatch.Replica
+		writesAgain bool
+		usedAfter   time.Duration
+	}{
+		"the same process":                        {newTestReplica("a", version(2, 5), false), false, restoredEntryDelay},
+		"the same process, which registers again": {newTestReplica("a", version(2, 5), false), true, 0},
+		"another process":                         {dragonflyhatch.Replica{ID: "a", Address: "a:1", Started: 9, Revision: version(2, 5)}, false, 0},
+	} {
+		set := newReplicaSet()
+		set.replace([]dragonflyhatch.Replica{newTestReplica("a", version(1, 5), false)}, version(1, 6), now)
+		set.remove("a", version(1, 7), now)
+		set.replace([]dragonflyhatch.Replica{test.restored}, version(2, 6), now)
+		if test.writesAgain {
+			test.restored.Revision = version(2, 7)
+			set.put(test.restored)
+		}
+		if test.usedAfter > 0 && len(set.usable(now.Add(test.usedAfter-1))) > 0 || len(set.usable(now.Add(test.usedAfter))) == 0 {
+			t.Errorf("%s: is not used from %s on", name, test.usedAfter)
+		}
+		if len(set.list()) != 1 {
+			t.Errorf("%s: peers do not learn of it", name)
+		}
+	}
+}
+
+// TestPlacementWaitsAfterRestoration guards against layers that are placed by registrations which
+// are older than the engines' state.
+func TestPlacementWaitsAfterRestoration(t *testing.T) {
+	now := time.Now()
+	first, _ := dragonflyhatch.StoreVersion(1, 9)
+	second, _ := dragonflyhatch.StoreVersion(2, 3)
+	set := newReplicaSet()
+	set.replace(nil, first, now.Add(-time.Minute))
+	if !set.isSettled(now) {
+		t.Error("the registrations of a minute ago are not settled")
+	}
+	set.replace(nil, second, now)
+	if set.isSettled(now.Add(reregistrationGrace-1)) || !set.isSettled(now.Add(reregistrationGrace)) {
+		t.Errorf("the registrations are not settled from %s after the restoration on", reregistrationGrace)
+	}
+}
+
+// TestLeaseOfRestoredStore guards against a fleet without a leader, or with two that take the lease
+// from each other, after the store came back with a lease of before.
+func TestLeaseOfRestoredStore(t *testing.T) {
+	ctx := context.Background()
+	for name, lease := range map[string]*lease{
+		"missing": nil, "of an earlier leader": {Host: "b", Process: "b-1"}, "of a process that has ended": {Host: "b", Process: "b-0"},
+		"of the leader": {Host: "a"},
+	} {
+		standIn := hatchstandin.NewPlatform()
+		server := httptest.NewServer(standIn.Handler())
+		daemons := make(map[string]*Gateway)
+		for _, host := range []string{"a", "b", "c"} {
+			daemons[host] = New(&platform.Settings{Host: host, PeerAddress: "127.0.0.1:1", StoreAddress: server.Listener.Addr().String()})
+		}
+		for host, daemon := range daemons {
+			for other := range daemons {
+				if other != host {
+					daemon.roster.Merge(dragonflyhatch.Member{Host: other, Process: other + "-1", PeerAddress: "127.0.0.1:1", Version: 1})
+				}
+			}
+		}
+		if lease != nil {
+			if lease.Process == "" {
+				lease.Process = daemons["a"].roster.Self().Process
+			}
+			value, err := json.Marshal(lease)
+			if err != nil {
+				t.Fatal(err)
+			}
+			standIn.Put("leases", "placement", value)
+		}
+		copied := standIn.Copy()
+		standIn.Put("leases", "placement", []byte(`{"host":"a","process":"`+daemons["a"].roster.Self().Process+`"}`))
+		for range 5 {
+			standIn.Put("config", "main", fmt.Appendf(nil, `{"version":%d}`, time.Now().UnixNano()))
+		}
+		if err := daemons["a"].acquireLease(ctx, time.Now()); err != nil || !daemons["a"].isLeader() {
+			t.Fatalf("%s: no leader before, %v", name, err)
+		}
+		for _, daemon := range daemons {
+			daemon.mergeLeader("a", daemons["a"].leader.term)
+		}
+		standIn.Restore(copied)
+		for _, daemon := range daemons {
+			if _, err := daemon.readStore(ctx, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// The leader takes the lease of the later era, and no other daemon does while it serves.
+		for host, daemon := range daemons {
+			if daemon.shouldTakeLease(time.Now()) != (host == "a") {
+				t.Errorf("%s: daemon %s takes the lease: %t", name, host, host != "a")
+			}
+		}
+		for range 2 {
+			if err := daemons["a"].acquireLease(ctx, time.Now()); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		term := daemons["a"].leader.term
+		if !daemons["a"].isLeader() || dragonflyhatch.EraOf(term) != 2 || daemons["a"].shouldTakeLease(time.Now()) {
+			t.Errorf("%s: leader %t in the term %d", name, daemons["a"].isLeader(), term)
+		}
+		// A daemon that has not heard of that follows it, and so does the earlier leader.
+		for _, host := range []string{"b", "c"} {
+			daemons[host].roster.Merge(dragonflyhatch.Member{Host: "a", Process: daemons["a"].roster.Self().Process, Version: 2})
+			if err := daemons[host].acquireLease(ctx, time.Now()); err != nil || daemons[host].isLeader() || daemons[host].leader.term != term {
+				t.Errorf("%s: daemon %s leads: %t, in the term %d, %v", name, host, daemons[host].isLeader(), daemons[host].leader.term, err)
+			}
+		}
+		server.Close()
+	}
+}
+
+// TestDrainAfterRestoration guards against a drain that is ignored since the store's revisions went
+// back, and against a peer that knows the store of before and undoes it.
+func TestDrainAfterRestoration(t *testing.T) {
+	ctx := context.Background()
+	standIn := hatchstandin.NewPlatform()
+	server := httptest.NewServer(standIn.Handler())
+	defer server.Close()
+	daemon := func(host string) *Gateway {
+		return New(&platform.Settings{Host: host, PeerAddress: "127.0.0.1:1", StoreAddress: server.Listener.Addr().String()})
+	}
+	register := func(id, state string) {
+		standIn.Put("servers", id, fmt.Appendf(nil, `{"service":"desk","address":"127.0.0.1:9","zone":"a","slots":4,"born":1,"state":%q}`, state))
+	}
+	reader, peer := daemon("a"), daemon("b")
+	register("r-1", "ready")
+	register("r-2", "ready")
+	copied := standIn.Copy()
+	for version := range 9 { // which the store loses
+		standIn.Put("config", "main", fmt.Appendf(nil, `{"version":%d}`, version+1))
+	}
+	lastVersion := reader.pollOnce(ctx, 0, true)
+	peer.pollOnce(ctx, 0, true)
+	standIn.Restore(copied)
+	lastVersion = reader.pollOnce(ctx, lastVersion, true)
+	register("r-1", "draining")
+	register("r-3", "ready")
+	reader.pollOnce(ctx, lastVersion, true)
+	isRight := func(replicas *replicaSet) bool {
+		return replicas.byID["r-1"].Leaving && !replicas.byID["r-2"].Leaving && replicas.byID["r-3"].Service != ""
+	}
+	if !isRight(&reader.replicas) || reader.Table().Version != 9 {
+		t.Errorf("the daemon that reads the store knows %v, configuration %d", reader.replicas.list(), reader.Table().Version)
+	}
+	reader.mergeGossip(peer.ExchangeGossip(reader.composeGossip(false, 0)))
+	if !isRight(&reader.replicas) {
+		t.Errorf("after gossip of a peer in the era before it knows %v", reader.replicas.list())
+	}
+	if !peer.isBehind(reader.composeGossip(false, 0)) {
+		t.Error("the peer does not fetch the registrations of the later era")
+	}
+	version, value := reader.Snapshot(dragonflyhatch.SnapshotReplicas)
+	peer.applyReplicaSnapshot(version, value, "a")
+	if !isRight(&peer.replicas) || peer.replicas.digest() != reader.replicas.digest() {
+		t.Errorf("the peer knows %v", peer.replicas.list())
+	}
+}
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -260,7 +260,7 @@
 	if table := gateway.table.Load(); table != nil {
 		services = table.Services
 	}
-	list := slices.DeleteFunc(gateway.replicas.list(), func(replica dragonflyhatch.Replica) bool {
+	list := slices.DeleteFunc(gateway.replicas.usable(start), func(replica dragonflyhatch.Replica) bool {
 		return !gateway.registrations.fitsModel(replica, services[replica.Service].Model)
 	})
 	gateway.view.Store(hatchpath.NewView(list, services, gateway.healths))
@@ -304,10 +304,19 @@
 	now := time.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
+	era := dragonflyhatch.EraOf(gateway.replicas.completeVersion)
 	if update(&gateway.replicas, now) {
 		gateway.requestRebuild()
 		gateway.requestPush()
 	}
+	if current := dragonflyhatch.EraOf(gateway.replicas.completeVersion); current > era && era > 0 {
+		gateway.logger.Info("registrations of a later era of the store", "era", current, "before", era, "held", len(gateway.replicas.heldUntil))
+		time.AfterFunc(restoredEntryDelay, func() { // the held registrations that are left may be used
+			gateway.mu.Lock()
+			defer gateway.mu.Unlock()
+			gateway.requestRebuild()
+		})
+	}
 }
 
 func (follower replicaFollower) decodeReplicas(objects []dragonflyhatch.Object) []dragonflyhatch.Replica {
--- a/hatchgateway/gateway.go
+++ b/hatchgateway/gateway.go
@@ -119,7 +119,6 @@
 		logger:       slog.Default(),
 		registry:     registry,
 		random:       hatchpath.NewSharedRandom(),
-		store:        platform.NewStore(settings.StoreAddress, platform.WithMetrics(registry)),
 		engines:      platform.NewEngineClient(),
 		peers:        hatchpeer.NewFleetClient(gossipTimeout),
 		healths:      hatchpath.NewHealthSet(),
@@ -146,6 +145,7 @@
 	process := uuid.NewString()
 	gateway.logger = gateway.logger.With(hatchaudit.DaemonField, settings.Host+"/"+process[:loggedProcessLength])
 	gateway.registrations.logger = gateway.logger
+	gateway.store = platform.NewStore(settings.StoreAddress, platform.WithMetrics(registry), platform.WithLogger(gateway.logger))
 	gateway.roster = hatchmember.NewRoster(dragonflyhatch.Member{
 		Host:          settings.Host,
 		Site:          settings.Site,
--- a/hatchgateway/leader.go
+++ b/hatchgateway/leader.go
@@ -35,7 +35,8 @@
 }
 
 // leadership is a daemon's view of the leader. The term is the version of the
-// lease object, so it increases whenever the leader changes.
+// lease object, so it increases whenever the leader changes. A leader whose term is of a past
+// era of the store leads on, but takes the lease of the latest era too.
 type leadership struct {
 	host        string
 	term        uint64
@@ -90,6 +91,9 @@
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
 	leader := &gateway.leader
+	if leader.isSelf && gateway.isPastEra(leader.term) {
+		return !gateway.freshness.IsPaced(now) && !now.Before(leader.barredUntil)
+	}
 	if leader.host != "" && gateway.roster.IsServing(leader.host) && (leader.isSelf || leader.host != gateway.settings.Host) {
 		leader.vacantSince = time.Time{}
 		return false
@@ -102,6 +106,12 @@
 	return rank >= 0 && !gateway.freshness.IsPaced(now) && !now.Before(leader.barredUntil) && now.Sub(leader.vacantSince) >= time.Duration(rank+1)*rankDelay
 }
 
+// isPastEra reports whether the term is of an era before that of the known registrations. The
+// lease of the term may then be lost. The mutex must be held.
+func (gateway *Gateway) isPastEra(term uint64) bool {
+	return dragonflyhatch.EraOf(term) < dragonflyhatch.EraOf(gateway.replicas.completeVersion)
+}
+
 // acquireLease makes this daemon the leader by a conditional write, unless the
 // lease names a leader to follow. If an earlier write succeeded but its reply was
 // lost, the read at the start finds that this process holds the lease already.
@@ -179,13 +189,16 @@
 }
 
 // adoptHolder records the holder of the lease as the leader if the lease's term is
-// newer than the known one, and reports whether it did. If no leader was known, the
-// holder must also be serving: otherwise the lease may be that of a process that has
-// ended.
+// newer than the known one, and reports whether it did. If no leader of the era was known,
+// the holder must also be serving: otherwise the lease may be that of a process that has
+// ended. A leader does not adopt a holder in an era in which it has not held the lease itself:
+// the lease may be one of before its own.
 func (gateway *Gateway) adoptHolder(holder lease, term, known uint64) bool {
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	if term <= known || known == 0 && !gateway.roster.IsServingProcess(holder.Host, holder.Process) {
+	isNewEra := dragonflyhatch.EraOf(term) > dragonflyhatch.EraOf(known)
+	if term <= known || isNewEra && gateway.leader.isSelf ||
+		(known == 0 || isNewEra) && !gateway.roster.IsServingProcess(holder.Host, holder.Process) {
 		return false
 	}
 	gateway.mergeLeader(holder.Host, term)
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -17,19 +17,39 @@
 // seconds.
 const reregistrationGrace = 2200 * time.Millisecond
 
+const (
+	// restoredEntryDelay is how long a registration is not used that the store had removed and has
+	// again after it came back from an older copy. The store removes it once more after three
+	// intervals of renewals, unless the replica lives.
+	restoredEntryDelay = 4 * time.Second
+	// removalMemory is for how long a removal is kept for that. It is far above the age of a copy.
+	removalMemory = time.Minute
+	// maxRemovals bounds the removals that are kept.
+	maxRemovals = 4096
+)
+
 // replicaSet holds the registrations that a daemon knows. A change that it learns in
 // any way, from the store or from a peer, goes on to peers through apply. It has no clock of its
 // own: methods that depend on the time have it as a parameter.
 type replicaSet struct {
 	version         uint64    // of the newest change; may be above completeVersion
 	completeVersion uint64    // store version up to which all changes are known
-	knownSince      time.Time // when the first listing or snapshot was applied
+	knownSince      time.Time // when the first listing or snapshot of the era was applied
 	byID            map[string]dragonflyhatch.Replica
 	expireAt        map[string]time.Time // by id, of replicas missing from the store
 	graceUntil      time.Time            // until then removals are deferred, as the replicas may be live
 	recent          []recentChange       // to send to peers, oldest first
 	recentBase      uint64               // version directly before the recent changes
 	cachedDigest    uint64               // 0 if stale
+
+	removals  map[string]removal   // by id, of replicas that are not registered
+	heldUntil map[string]time.Time // by id, of registrations that are not used before then
+}
+
+// removal is a process whose registration was removed, and when.
+type removal struct {
+	process dragonflyhatch.ReplicaProcess
+	at      time.Time
 }
 
 // recentChange is an update that peers may not have yet.
@@ -49,8 +69,10 @@
 
 func newReplicaSet() replicaSet {
 	return replicaSet{
-		byID:     make(map[string]dragonflyhatch.Replica),
-		expireAt: make(map[string]time.Time),
+		byID:      make(map[string]dragonflyhatch.Replica),
+		expireAt:  make(map[string]time.Time),
+		removals:  make(map[string]removal),
+		heldUntil: make(map[string]time.Time),
 	}
 }
 
@@ -63,6 +85,42 @@
 	return list
 }
 
+// usable returns the replicas that may be used, ordered by id.
+func (set *replicaSet) usable(now time.Time) []dragonflyhatch.Replica {
+	return slices.DeleteFunc(set.list(), func(replica dragonflyhatch.Replica) bool {
+		return now.Before(set.heldUntil[replica.ID])
+	})
+}
+
+// drop removes a replica.
+func (set *replicaSet) drop(id string, now time.Time) {
+	if len(set.removals) >= maxRemovals {
+		maps.DeleteFunc(set.removals, func(_ string, removal removal) bool { return now.Sub(removal.at) > removalMemory })
+	}
+	if len(set.removals) < maxRemovals {
+		set.removals[id] = removal{set.byID[id].Process(), now}
+	}
+	delete(set.byID, id)
+	delete(set.expireAt, id)
+	delete(set.heldUntil, id)
+}
+
+// beginEra prepares the set for a complete listing of a later era. The store has come back from a
+// copy, so that registrations may be missing although their replicas live, and older than what is
+// known. Those of processes that were removed are not used unless they are written again.
+func (set *replicaSet) beginEra(listed []dragonflyhatch.Replica, now time.Time) {
+	set.startGrace(now)
+	set.knownSince = now
+	for id := range set.expireAt { // what its replica has written again since may be lost too
+		set.expireAt[id] = set.graceUntil
+	}
+	for _, replica := range listed {
+		if removal, ok := set.removals[replica.ID]; ok && removal.process == replica.Process() && now.Sub(removal.at) <= removalMemory {
+			set.heldUntil[replica.ID] = now.Add(restoredEntryDelay)
+		}
+	}
+}
+
 // startGrace begins the grace period after an outage of the store that ended at the time,
 // in which removals are deferred. A later end of the period stays.
 func (set *replicaSet) startGrace(end time.Time) {
@@ -79,8 +137,15 @@
 	if ok && known.Revision > replica.Revision {
 		return false
 	}
+	if ok && known.Leaving && known.Process() == replica.Process() && dragonflyhatch.EraOf(known.Revision) < dragonflyhatch.EraOf(replica.Revision) {
+		replica.Leaving = true // the copy may be older than the drain, which a process does not take back
+	}
+	if ok && known.Revision < replica.Revision {
+		delete(set.heldUntil, replica.ID)
+	}
 	set.byID[replica.ID] = replica
 	delete(set.expireAt, replica.ID)
+	delete(set.removals, replica.ID)
 	set.cachedDigest = 0
 	return !ok || known.Revision < replica.Revision
 }
@@ -215,8 +280,7 @@
 	}
 	set.cachedDigest = 0
 	if !now.Before(expiry) {
-		delete(set.byID, id)
-		delete(set.expireAt, id)
+		set.drop(id, now)
 	} else if _, scheduled := set.expireAt[id]; !scheduled {
 		set.expireAt[id] = expiry
 	}
@@ -271,8 +335,8 @@
 }
 
 // isSettled reports whether all live replicas have had the time to register again
-// since this process first learned of any. The store may have been restored just
-// before, and then lists only some of them.
+// since this process first learned of any, or of the store's era. The store may have been
+// restored just before, and then lists only some of them.
 func (set *replicaSet) isSettled(now time.Time) bool {
 	return !set.knownSince.IsZero() && now.Sub(set.knownSince) >= reregistrationGrace
 }
@@ -286,8 +350,12 @@
 	if set.knownSince.IsZero() {
 		set.knownSince = now
 	}
-	changes := set.changesTo(list, version)
 	isFirst := set.completeVersion == 0
+	if !isFirst && dragonflyhatch.EraOf(version) > dragonflyhatch.EraOf(set.completeVersion) {
+		set.beginEra(list, now)
+		isFirst = true
+	}
+	changes := set.changesTo(list, version)
 	updated := false
 	for _, change := range changes {
 		if change.Replica.Revision > version { // read on a later page; the changes before it may not be known
@@ -338,8 +406,7 @@
 	expired := false
 	for id, expiry := range set.expireAt {
 		if !now.Before(expiry) {
-			delete(set.byID, id)
-			delete(set.expireAt, id)
+			set.drop(id, now)
 			expired = true
 		}
 	}
--- a/hatchstandin/platform.go
+++ b/hatchstandin/platform.go
@@ -74,6 +74,7 @@
 	hostLag time.Duration
 
 	mu            sync.Mutex
+	era           uint64
 	revision      uint64
 	forgottenUpTo uint64                             // a watch after an older revision fails with 410
 	objects       map[string]map[string]StoredObject // by kind and name
@@ -94,6 +95,7 @@
 // NewPlatform returns an empty platform stand-in.
 func NewPlatform(options ...PlatformOption) *Platform {
 	platform := &Platform{
+		era:      1,
 		revision: 1,
 		objects:  make(map[string]map[string]StoredObject),
 		history:  make(map[string][]StoredChange),
@@ -125,6 +127,7 @@
 	return func(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
 		platform.mu.Lock()
 		faults := platform.faults
+		writer.Header().Set("Store-Era", strconv.FormatUint(platform.era, 10))
 		if faults.Outage {
 			platform.counts.Outages++
 		}
@@ -329,7 +332,7 @@
 	for {
 		page, changed, status := platform.changesAfter(kind, after)
 		switch {
-		case status == http.StatusServiceUnavailable:
+		case status == http.StatusServiceUnavailable || writer.Header().Get("Store-Era") != platform.Era():
 			abortConnection(writer)
 		case status == http.StatusGone:
 			http.Error(writer, "history gone", status)
@@ -361,7 +364,7 @@
 	case platform.faults.HoldWatches:
 		page.Revision = after
 		return page, platform.changed, http.StatusOK
-	case after < platform.forgottenUpTo:
+	case after < platform.forgottenUpTo || after > platform.revision:
 		return page, platform.changed, http.StatusGone
 	}
 	for _, change := range platform.history[kind] {
@@ -389,6 +392,47 @@
 	return platform.forgottenUpTo
 }
 
+// PlatformCopy is a copy of all that the stand-in holds.
+type PlatformCopy struct {
+	revision, forgottenUpTo uint64
+	objects                 map[string]map[string]StoredObject
+	history                 map[string][]StoredChange
+}
+
+// Copy returns a copy of all that the stand-in holds.
+func (platform *Platform) Copy() *PlatformCopy {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	return &PlatformCopy{platform.revision, platform.forgottenUpTo, cloneAll(platform.objects, maps.Clone), cloneAll(platform.history, slices.Clone)}
+}
+
+// Restore begins another era with the contents of the copy: all later changes are lost, and
+// their revisions are given out again. It ends waiting watches.
+func (platform *Platform) Restore(copied *PlatformCopy) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.era++
+	platform.revision, platform.forgottenUpTo = copied.revision, copied.forgottenUpTo
+	platform.objects, platform.history = cloneAll(copied.objects, maps.Clone), cloneAll(copied.history, slices.Clone)
+	platform.wakeWatchesLocked()
+}
+
+// Era returns the era that responses state.
+func (platform *Platform) Era() string {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	return strconv.FormatUint(platform.era, 10)
+}
+
+// cloneAll returns a copy of the map with its values cloned.
+func cloneAll[Value any](all map[string]Value, clone func(Value) Value) map[string]Value {
+	result := make(map[string]Value, len(all))
+	for key, value := range all {
+		result[key] = clone(value)
+	}
+	return result
+}
+
 // hostEntry is the request body that sets an entry of the host list.
 type hostEntry struct {
 	Address string `json:"address"`
--- a/platform.go
+++ b/platform.go
@@ -17,7 +17,7 @@
 // Object is a versioned value of the platform's object API.
 type Object struct {
 	Name    string `json:"name"`
-	Version uint64 `json:"version"` // increases with every write; unique among all objects
+	Version uint64 `json:"version"` // increases with every write; unique among all objects; see StoreVersion
 	Value   []byte `json:"value"`
 }
 
@@ -40,11 +40,11 @@
 	// Get returns the object, or ErrObjectMissing.
 	Get(ctx context.Context, name string) (Object, error)
 	// List returns the objects below the prefix and the version up to which
-	// the listing is complete.
+	// the listing is complete. All are of one era.
 	List(ctx context.Context, prefix string) ([]Object, uint64, error)
 	// Watch waits at most the given time for changes below the prefix that are
 	// newer than the version after. It returns them with the version to pass to
-	// the next call.
+	// the next call, or ErrHistoryGone, also if the store has entered another era.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// Hosts returns the platform's host list, which lags behind the actual
 	// state.
