hatchroute: an empty list of organisations lets no key in

What callers saw: after the only tenant had been taken away, requests ran with the key that was taken away and with keys that no configuration ever held, and without any. A tenant with an empty text among its keys let requests without a key in, as its own. An empty key was entered in the table like any other. Change: a configuration with a list of tenants, whatever it holds, asks for a key; an empty key is nobody's. The log line of a configuration says whether keys are needed.

--- a/gateway.go
+++ b/gateway.go
@@ -100,7 +100,7 @@
 	Version       uint64
 	Routes        []Route
 	Services      map[string]UpstreamService
-	Organisations []Organisation // empty if requests need no key
+	Organisations []Organisation // nil if requests need no key; if it is empty, no key is valid
 	Limits        RequestLimits
 }
 
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -201,7 +201,7 @@
 	table := hatchroute.NewTable(routing)
 	changes := table.ChangesSince(gateway.table.Load())
 	gateway.logger.Info("configuration in force", "version", routing.Version, "before", gateway.routing.version,
-		"routes", len(routing.Routes), "organisations", len(routing.Organisations), "source", source,
+		"routes", len(routing.Routes), "organisations", len(routing.Organisations), "keysNeeded", routing.Organisations != nil, "source", source,
 		"added", changes.Added, "removed", changes.Removed, "keysChanged", changes.Keys,
 		"changed", changes.Changed[:min(len(changes.Changed), maxChangesLogged)])
 	gateway.routing = snapshot{routing.Version, value}
--- a/hatchroute/ranks.go
+++ b/hatchroute/ranks.go
@@ -30,7 +30,9 @@
 			}
 		}
 	}
-	organisationPriorities := []int{0} // requests without an organisation are all alike
+	// Requests without an organisation are all alike. With an empty list of organisations there are
+	// only those of public routes.
+	organisationPriorities := []int{0}
 	if len(routing.Organisations) > 0 {
 		organisationPriorities = nil
 	}
--- a/hatchroute/ranks_test.go
+++ b/hatchroute/ranks_test.go
@@ -54,3 +54,22 @@
 		}
 	}
 }
+
+// TestRankWithoutOrganisations guards against public routes that lose their ranks with the last
+// organisation.
+func TestRankWithoutOrganisations(t *testing.T) {
+	model := &dragonflyhatch.EngineModel{Layers: 8}
+	for _, organisations := range [][]dragonflyhatch.Organisation{nil, {}} {
+		table := hatchroute.NewTable(&dragonflyhatch.Routing{
+			Routes: []dragonflyhatch.Route{
+				{Name: "urgent", Priority: 0, Public: true, Services: []dragonflyhatch.WeightedService{{Name: "lm", Weight: 1}}},
+				{Name: "digest", Priority: 2, Public: true, Services: []dragonflyhatch.WeightedService{{Name: "lm", Weight: 1}}},
+			},
+			Services:      map[string]dragonflyhatch.UpstreamService{"lm": {Model: model}},
+			Organisations: organisations,
+		})
+		if table.Ranks("lm") != 2 || table.Rank("lm", &table.Routes[1], nil) != 1 {
+			t.Errorf("%d ranks, the second route has %d", table.Ranks("lm"), table.Rank("lm", &table.Routes[1], nil))
+		}
+	}
+}
--- a/hatchroute/table.go
+++ b/hatchroute/table.go
@@ -38,7 +38,9 @@
 	}
 	for i := range routing.Organisations {
 		for _, key := range routing.Organisations[i].Keys {
-			table.byKey[key] = &routing.Organisations[i]
+			if key != "" { // which a request without a key has
+				table.byKey[key] = &routing.Organisations[i]
+			}
 		}
 	}
 	return table
@@ -64,9 +66,9 @@
 }
 
 // NeedsKey reports whether a request on the route must carry the key of an
-// organisation.
+// organisation. It must if the configuration lists organisations, also if it lists none.
 func (table *Table) NeedsKey(route *dragonflyhatch.Route) bool {
-	return len(table.Organisations) > 0 && !route.Public
+	return table.Organisations != nil && !route.Public
 }
 
 // ChooseService returns the service for a request on the route, chosen by weight, or
--- a/hatchroute/table_test.go
+++ b/hatchroute/table_test.go
@@ -44,6 +44,17 @@
 			convey.So(table.NeedsKey(table.Route("a.example", "/x/y/z")), convey.ShouldBeFalse)
 			convey.So(table.NeedsKey(table.Route("a.example", "/x/z")), convey.ShouldBeTrue)
 		})
+		convey.Convey("An empty list of organisations lets no key in, and no list asks for none", func() {
+			for _, test := range []struct {
+				organisations []dragonflyhatch.Organisation
+				needsKey      bool
+			}{{nil, false}, {[]dragonflyhatch.Organisation{}, true}, {[]dragonflyhatch.Organisation{{Name: "office", Keys: []string{""}}}, true}} {
+				table := NewTable(&dragonflyhatch.Routing{Organisations: test.organisations})
+				convey.So(table.NeedsKey(&dragonflyhatch.Route{}), convey.ShouldEqual, test.needsKey)
+				convey.So(table.NeedsKey(&dragonflyhatch.Route{Public: true}), convey.ShouldBeFalse)
+				convey.So(table.Organisation(""), convey.ShouldBeNil)
+			}
+		})
 		convey.Convey("Requests are divided over services by weight, and a route without services returns none", func() {
 			counts := make(map[string]int)
 			for i := range 1000 {
