hatchgateway: engines keep their known layers while a restored store is rewritten

What callers saw: after the store came back from a copy of before the layers were placed, or moved, all streams waited for a pipeline or were refused until the engines had written their registrations again, up to 2 s later. Cause: with the era read, the registrations of the copy replaced those that were known, also where the copy was older. Change: replicaSet keeps what the store lists, and for the grace of 2.2 s uses the layers that were known of a process, unless it is written again. Peers are sent what the store lists, so that one that has just started ends with that. Why it works: a replica writes again within about 2 s; if it had done so before the first listing, its layers are used 2.2 s late, and an engine refuses what it does not hold.

--- a/hatchgateway/era_test.go
+++ b/hatchgateway/era_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
 	"dragonflyhatch"
@@ -144,20 +145,26 @@
 
 // apply changes what a daemon knows and checks the change.
 func (fleet *eraFleet) apply(daemon *eraDaemon, change func()) {
-	before, listBefore := daemon.set.completeVersion, daemon.set.list()
+	before, usedBefore := daemon.set.completeVersion, daemon.set.usable(fleet.now)
 	change()
 	if daemon.set.completeVersion < before {
 		fleet.t.Fatalf("version %d after %d", daemon.set.completeVersion, before)
 	}
 	if before > 0 && dragonflyhatch.EraOf(daemon.set.completeVersion) > dragonflyhatch.EraOf(before) {
-		daemon.began, daemon.atBegin = fleet.now, listBefore
+		daemon.began, daemon.atBegin = fleet.now, usedBefore
+	}
+	known, used := daemon.set.byID, make(map[string]dragonflyhatch.Replica)
+	for _, replica := range daemon.set.usable(fleet.now) {
+		used[replica.ID] = replica
 	}
-	known := daemon.set.byID
 	if fleet.now.Sub(daemon.began) < reregistrationGrace {
 		for _, replica := range daemon.atBegin {
 			if _, ok := known[replica.ID]; !ok && fleet.replicas[replica.ID].Process() == replica.Process() {
 				fleet.t.Fatalf("replica %s lives, but was dropped %s after the era began", replica.ID, fleet.now.Sub(daemon.began))
 			}
+			if now, ok := used[replica.ID]; ok && now.Process() == replica.Process() && now.Held.Version < replica.Held.Version {
+				fleet.t.Fatalf("replica %s is used in version %d, %d was known", replica.ID, now.Held.Version, replica.Held.Version)
+			}
 		}
 	}
 	for id, process := range daemon.leaving {
@@ -216,7 +223,7 @@
 		}
 	case "change":
 		if lives {
-			replica.Slots++
+			replica.Held.Version++
 			fleet.replicas[id] = replica
 			fleet.store.write(replica, false)
 		}
@@ -466,3 +473,63 @@
 		t.Errorf("the peer knows %v", peer.replicas.list())
 	}
 }
+
+// TestGatewaysAfterRestoration guards against a fleet that stops to serve, follows nothing or has no
+// leader after the store came back from a copy of before its start.
+func TestGatewaysAfterRestoration(t *testing.T) {
+	convey.Convey("Given a fleet whose store has lost all that was written since its start", t, func() {
+		cluster := newCluster(t, 0)
+		copied := cluster.platform.Copy()
+		for number := range 3 {
+			cluster.startGateway(number, cluster.peerAddresses()...)
+		}
+		cluster.eventually(12*time.Second, "all gateways serve", cluster.allServing)
+		cluster.eventually(2*time.Second, "there is one leader", func() bool { return cluster.leaders() == 1 })
+		for version := 2; version <= 6; version++ {
+			cluster.configure(version, "/draft/")
+		}
+		inForce := func(version uint64) func() bool {
+			return func() bool {
+				return !slices.ContainsFunc(cluster.gateways, func(gateway *testGateway) bool { return gateway.Table().Version != version })
+			}
+		}
+		cluster.eventually(2*time.Second, "the configuration is in force", inForce(6))
+		cluster.platform.SetFaults(hatchstandin.PlatformFaults{Outage: true})
+		time.Sleep(300 * time.Millisecond)
+		cluster.platform.Restore(copied)
+		cluster.platform.SetFaults(hatchstandin.PlatformFaults{})
+		restored := time.Now()
+		convey.So(cluster.allServing(), convey.ShouldBeTrue)
+		for number, engine := range cluster.engines {
+			entry, err := json.Marshal(engine.Registration())
+			convey.So(err, convey.ShouldBeNil)
+			cluster.platform.Put("servers", fmt.Sprint("i-", number), entry)
+		}
+		cluster.configure(6, "/draft/")
+		leads := func() bool {
+			object, err := cluster.store.Get(context.Background(), leaseName)
+			var holder lease
+			return err == nil && json.Unmarshal(object.Value, &holder) == nil && slices.ContainsFunc(cluster.gateways, func(gateway *testGateway) bool {
+				gateway.mu.Lock()
+				defer gateway.mu.Unlock()
+				return gateway.leader.isSelf && gateway.leader.term == object.Version && holder.Process == gateway.roster.Self().Process
+			})
+		}
+		cluster.eventually(time.Until(restored.Add(2*time.Second)), "one leader has the lease of the era", func() bool { return cluster.leaders() == 1 && leads() })
+		for time.Since(restored) < reregistrationGrace+time.Second {
+			convey.So(cluster.allServing(), convey.ShouldBeTrue)
+			convey.So(inForce(6)(), convey.ShouldBeTrue)
+		}
+		cluster.configure(7, "/draft/")
+		cluster.eventually(2*time.Second, "a later configuration is in force", inForce(7))
+		leaving := cluster.engines[0]
+		leaving.Leave()
+		cluster.eventually(2*time.Second, "all know that an engine is leaving", func() bool {
+			return !slices.ContainsFunc(cluster.gateways, func(gateway *testGateway) bool {
+				node := gateway.View().NodeAt(leaving.Address())
+				return node != nil && !node.Leaving
+			})
+		})
+		cluster.eventually(3*time.Second, "all gateways serve", cluster.allServing)
+	})
+}
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -310,12 +310,14 @@
 		gateway.requestPush()
 	}
 	if current := dragonflyhatch.EraOf(gateway.replicas.completeVersion); current > era && era > 0 {
-		gateway.logger.Info("registrations of a later era of the store", "era", current, "before", era, "held", len(gateway.replicas.heldUntil))
-		time.AfterFunc(restoredEntryDelay, func() { // the held registrations that are left may be used
-			gateway.mu.Lock()
-			defer gateway.mu.Unlock()
-			gateway.requestRebuild()
-		})
+		gateway.logger.Info("registrations of a later era of the store", "era", current, "before", era, "overridden", len(gateway.replicas.overrides))
+		for _, delay := range []time.Duration{reregistrationGrace, restoredEntryDelay} { // when overrides end
+			time.AfterFunc(delay, func() {
+				gateway.mu.Lock()
+				defer gateway.mu.Unlock()
+				gateway.requestRebuild()
+			})
+		}
 	}
 }
 
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -42,8 +42,8 @@
 	recentBase      uint64               // version directly before the recent changes
 	cachedDigest    uint64               // 0 if stale
 
-	removals  map[string]removal   // by id, of replicas that are not registered
-	heldUntil map[string]time.Time // by id, of registrations that are not used before then
+	removals  map[string]removal  // by id, of replicas that are not registered
+	overrides map[string]override // by id
 }
 
 // removal is a process whose registration was removed, and when.
@@ -52,6 +52,13 @@
 	at      time.Time
 }
 
+// override is what is used in place of a registration that may be older than what is known, as
+// the store has come back from a copy.
+type override struct {
+	known *dragonflyhatch.Replica // the registration before; nil if it had been removed
+	until time.Time
+}
+
 // recentChange is an update that peers may not have yet.
 type recentChange struct {
 	dragonflyhatch.ReplicaChange
@@ -72,7 +79,7 @@
 		byID:      make(map[string]dragonflyhatch.Replica),
 		expireAt:  make(map[string]time.Time),
 		removals:  make(map[string]removal),
-		heldUntil: make(map[string]time.Time),
+		overrides: make(map[string]override),
 	}
 }
 
@@ -87,9 +94,17 @@
 
 // usable returns the replicas that may be used, ordered by id.
 func (set *replicaSet) usable(now time.Time) []dragonflyhatch.Replica {
-	return slices.DeleteFunc(set.list(), func(replica dragonflyhatch.Replica) bool {
-		return now.Before(set.heldUntil[replica.ID])
-	})
+	var list []dragonflyhatch.Replica
+	for _, replica := range set.list() {
+		if override, ok := set.overrides[replica.ID]; ok && now.Before(override.until) {
+			if override.known == nil {
+				continue
+			}
+			replica.Held = override.known.Held
+		}
+		list = append(list, replica)
+	}
+	return list
 }
 
 // drop removes a replica.
@@ -102,21 +117,29 @@
 	}
 	delete(set.byID, id)
 	delete(set.expireAt, id)
-	delete(set.heldUntil, id)
+	delete(set.overrides, id)
 }
 
 // beginEra prepares the set for a complete listing of a later era. The store has come back from a
 // copy, so that registrations may be missing although their replicas live, and older than what is
-// known. Those of processes that were removed are not used unless they are written again.
+// known. In the grace period engines are used with the layers that are known of them. Registrations
+// of processes that were removed are not used unless they are written again.
 func (set *replicaSet) beginEra(listed []dragonflyhatch.Replica, now time.Time) {
 	set.startGrace(now)
 	set.knownSince = now
 	for id := range set.expireAt { // what its replica has written again since may be lost too
 		set.expireAt[id] = set.graceUntil
 	}
+	maps.DeleteFunc(set.overrides, func(_ string, override override) bool { return !now.Before(override.until) })
+	for id, override := range set.overrides {
+		if override.until.Before(set.graceUntil) {
+			override.until = set.graceUntil
+			set.overrides[id] = override
+		}
+	}
 	for _, replica := range listed {
 		if removal, ok := set.removals[replica.ID]; ok && removal.process == replica.Process() && now.Sub(removal.at) <= removalMemory {
-			set.heldUntil[replica.ID] = now.Add(restoredEntryDelay)
+			set.overrides[replica.ID] = override{until: now.Add(restoredEntryDelay)}
 		}
 	}
 }
@@ -137,11 +160,16 @@
 	if ok && known.Revision > replica.Revision {
 		return false
 	}
-	if ok && known.Leaving && known.Process() == replica.Process() && dragonflyhatch.EraOf(known.Revision) < dragonflyhatch.EraOf(replica.Revision) {
-		replica.Leaving = true // the copy may be older than the drain, which a process does not take back
-	}
 	if ok && known.Revision < replica.Revision {
-		delete(set.heldUntil, replica.ID)
+		before := set.overrides[replica.ID].known
+		delete(set.overrides, replica.ID)
+		if known.Process() == replica.Process() && dragonflyhatch.EraOf(known.Revision) < dragonflyhatch.EraOf(replica.Revision) {
+			replica.Leaving = replica.Leaving || known.Leaving // which a process does not take back
+			if before == nil {
+				before = &known
+			}
+			set.overrides[replica.ID] = override{before, set.graceUntil}
+		}
 	}
 	set.byID[replica.ID] = replica
 	delete(set.expireAt, replica.ID)
