hatchgateway: a removed process stays unused through two restorations

A replica that had been removed, and that the store lists again after it came back from a copy, would get requests after a second restoration within 4 s. Cause: the second listing took the registration that is held back for one that is known, and used it with its known layers. Evidence: TestRestoredRemovals, "the same process, twice", fails on the commit before. Change: what is held back stays so, for 4 s from the later restoration. The views are also rebuilt at the end of these times if the store stated no era at first.

--- a/hatchgateway/era_test.go
+++ b/hatchgateway/era_test.go
@@ -310,14 +310,17 @@
 		version, _ := dragonflyhatch.StoreVersion(era, revision)
 		return version
 	}
+	const again = 300 * time.Millisecond // from one restoration to the next
 	for name, test := range map[string]struct {
 		restored    dragonflyhatch.Replica
 		writesAgain bool
+		twice       bool // the store is restored again
 		usedAfter   time.Duration
 	}{
-		"the same process":                        {newTestReplica("a", version(2, 5), false), false, restoredEntryDelay},
-		"the same process, which registers again": {newTestReplica("a", version(2, 5), false), true, 0},
-		"another process":                         {dragonflyhatch.Replica{ID: "a", Address: "a:1", Started: 9, Revision: version(2, 5)}, false, 0},
+		"the same process":                        {newTestReplica("a", version(2, 5), false), false, false, restoredEntryDelay},
+		"the same process, twice":                 {newTestReplica("a", version(2, 5), false), false, true, again + restoredEntryDelay},
+		"the same process, which registers again": {newTestReplica("a", version(2, 5), false), true, false, 0},
+		"another process":                         {dragonflyhatch.Replica{ID: "a", Address: "a:1", Started: 9, Revision: version(2, 5)}, false, false, 0},
 	} {
 		set := newReplicaSet()
 		set.replace([]dragonflyhatch.Replica{newTestReplica("a", version(1, 5), false)}, version(1, 6), now)
@@ -327,6 +330,10 @@
 			test.restored.Revision = version(2, 7)
 			set.put(test.restored)
 		}
+		if test.twice {
+			test.restored.Revision = version(3, 5)
+			set.replace([]dragonflyhatch.Replica{test.restored}, version(3, 6), now.Add(again))
+		}
 		if test.usedAfter > 0 && len(set.usable(now.Add(test.usedAfter-1))) > 0 || len(set.usable(now.Add(test.usedAfter))) == 0 {
 			t.Errorf("%s: is not used from %s on", name, test.usedAfter)
 		}
--- a/hatchgateway/follow.go
+++ b/hatchgateway/follow.go
@@ -304,13 +304,14 @@
 	now := time.Now()
 	gateway.mu.Lock()
 	defer gateway.mu.Unlock()
-	era := dragonflyhatch.EraOf(gateway.replicas.completeVersion)
+	before := gateway.replicas.completeVersion
 	if update(&gateway.replicas, now) {
 		gateway.requestRebuild()
 		gateway.requestPush()
 	}
-	if current := dragonflyhatch.EraOf(gateway.replicas.completeVersion); current > era && era > 0 {
-		gateway.logger.Info("registrations of a later era of the store", "era", current, "before", era, "overridden", len(gateway.replicas.overrides))
+	if era := dragonflyhatch.EraOf(gateway.replicas.completeVersion); before > 0 && era > dragonflyhatch.EraOf(before) {
+		gateway.logger.Info("registrations of a later era of the store", "era", era,
+			"before", dragonflyhatch.EraOf(before), "overridden", len(gateway.replicas.overrides))
 		for _, delay := range []time.Duration{reregistrationGrace, restoredEntryDelay} { // when overrides end
 			time.AfterFunc(delay, func() {
 				gateway.mu.Lock()
--- a/hatchgateway/replicas.go
+++ b/hatchgateway/replicas.go
@@ -131,11 +131,11 @@
 		set.expireAt[id] = set.graceUntil
 	}
 	maps.DeleteFunc(set.overrides, func(_ string, override override) bool { return !now.Before(override.until) })
-	for id, override := range set.overrides {
-		if override.until.Before(set.graceUntil) {
-			override.until = set.graceUntil
-			set.overrides[id] = override
+	for id, current := range set.overrides {
+		if current.until = set.graceUntil; current.known == nil {
+			current.until = now.Add(restoredEntryDelay)
 		}
+		set.overrides[id] = current
 	}
 	for _, replica := range listed {
 		if removal, ok := set.removals[replica.ID]; ok && removal.process == replica.Process() && now.Sub(removal.at) <= removalMemory {
@@ -161,14 +161,14 @@
 		return false
 	}
 	if ok && known.Revision < replica.Revision {
-		before := set.overrides[replica.ID].known
+		current, isOverridden := set.overrides[replica.ID]
 		delete(set.overrides, replica.ID)
 		if known.Process() == replica.Process() && dragonflyhatch.EraOf(known.Revision) < dragonflyhatch.EraOf(replica.Revision) {
 			replica.Leaving = replica.Leaving || known.Leaving // which a process does not take back
-			if before == nil {
-				before = &known
+			if !isOverridden {
+				current = override{&known, set.graceUntil}
 			}
-			set.overrides[replica.ID] = override{before, set.graceUntil}
+			set.overrides[replica.ID] = current
 		}
 	}
 	set.byID[replica.ID] = replica
