hatchgateway: the drills of the model follow from their seed alone

Cause: the model for restored stores drew and wrote in the order of maps, so that rapid could not repeat a failure ("flaky test, can not reproduce a failure", with the mutant era-without-grace). Change: in the order of names. No check changed.

--- a/hatchgateway/era_test.go
+++ b/hatchgateway/era_test.go
@@ -54,7 +54,8 @@
 
 // listing returns the registrations as the client of the store does.
 func (store *storeModel) listing() (list []dragonflyhatch.Replica, version uint64) {
-	for _, replica := range store.entries {
+	for _, id := range slices.Sorted(maps.Keys(store.entries)) {
+		replica := store.entries[id]
 		replica.Revision = store.version(replica.Revision)
 		list = append(list, replica)
 	}
@@ -187,10 +188,10 @@
 	era := fleet.store.era + 1
 	fleet.store = copied.copy()
 	fleet.store.era = era
-	for id := range fleet.store.entries {
+	for _, id := range slices.Sorted(maps.Keys(fleet.store.entries)) {
 		fleet.rewrites[id] = fleet.now.Add(time.Duration(rapid.IntRange(0, 3600).Draw(fleet.t, "removal")) * time.Millisecond)
 	}
-	for id := range fleet.replicas {
+	for _, id := range slices.Sorted(maps.Keys(fleet.replicas)) {
 		fleet.rewrites[id] = fleet.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(fleet.t, "rewrite")) * time.Millisecond)
 	}
 }
@@ -198,8 +199,8 @@
 // advance lets time pass.
 func (fleet *eraFleet) advance(duration time.Duration) {
 	fleet.now = fleet.now.Add(duration)
-	for id, at := range fleet.rewrites {
-		if !fleet.now.Before(at) {
+	for _, id := range slices.Sorted(maps.Keys(fleet.rewrites)) {
+		if !fleet.now.Before(fleet.rewrites[id]) {
 			replica, lives := fleet.replicas[id]
 			replica.ID = id
 			fleet.store.write(replica, !lives)
