hatchsoak: the store comes back from a copy, and engines send foreign bytes

Change: two faults, drawn from a stream of random numbers of their own, so that older seeds keep their faults. The stand-in of the store restores a copy of up to 3 s before, and the operator and the replicas write again; that of the engines sends random bytes, text, a head or an event with an id that repeats, without an end.

--- a/hatchsoak/enums_string.go
+++ b/hatchsoak/enums_string.go
@@ -32,12 +32,14 @@
 	_ = x[DeskFails-21]
 	_ = x[DeskLosesAnswers-22]
 	_ = x[DeskSheds-23]
-	_ = x[faults-24]
+	_ = x[StoreRestored-24]
+	_ = x[EngineForeign-25]
+	_ = x[faults-26]
 }
 
-const _Fault_name = "DaemonStopDaemonReloadReplicaLeavesConfigurationChangeDaemonKillDaemonPauseDaemonClockFleetKillStoreOutStoreSilentStoreSlowStoreLosesRepliesStoreHidesChangesStoreRefusesStoreCutEngineCrashEngineSilentEngineResetEngineSlowEngineMuteDeskCrashDeskFailsDeskLosesAnswersDeskShedsfaults"
+const _Fault_name = "DaemonStopDaemonReloadReplicaLeavesConfigurationChangeDaemonKillDaemonPauseDaemonClockFleetKillStoreOutStoreSilentStoreSlowStoreLosesRepliesStoreHidesChangesStoreRefusesStoreCutEngineCrashEngineSilentEngineResetEngineSlowEngineMuteDeskCrashDeskFailsDeskLosesAnswersDeskShedsStoreRestoredEngineForeignfaults"
 
-var _Fault_index = [...]uint16{0, 10, 22, 35, 54, 64, 75, 86, 95, 103, 114, 123, 140, 157, 169, 177, 188, 200, 211, 221, 231, 240, 249, 265, 274, 280}
+var _Fault_index = [...]uint16{0, 10, 22, 35, 54, 64, 75, 86, 95, 103, 114, 123, 140, 157, 169, 177, 188, 200, 211, 221, 231, 240, 249, 265, 274, 287, 300, 306}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/hatchsoak/fault.go
+++ b/hatchsoak/fault.go
@@ -38,9 +38,15 @@
 	DeskFails        // some requests fail with status 500
 	DeskLosesAnswers // some responses are lost, sent twice or broken
 	DeskSheds        // some requests are refused
-	faults           // number of kinds
+	// The following are drawn separately, so that each seed keeps the faults above.
+	StoreRestored // the store is away for a moment and comes back from an older copy
+	EngineForeign // streams go on with bytes that are no events
+	faults        // number of kinds
 )
 
+// firstSeparateFault is the first kind of fault that is drawn separately.
+const firstSeparateFault = StoreRestored
+
 //go:generate go tool -modfile=../tools/go.mod stringer -type=Fault -output=enums_string.go
 
 // isPlanned reports whether the fault is a planned operation, which must not cut any
@@ -67,6 +73,8 @@
 	// minFaultDuration and maxFaultDuration bound how long a fault lasts.
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
+	// maxSeparateFaults bounds the faults of each separate kind in a run.
+	maxSeparateFaults = 2
 )
 
 // GenerateEvents returns the faults of a run of the given length, as the seed determines
@@ -83,7 +91,13 @@
 	add(DaemonStop, time.Duration(random.Int64N(int64(length))))
 	add(ConfigurationChange, time.Duration(random.Int64N(int64(length))))
 	for at := time.Duration(0); at < length; at += time.Duration(random.Int64N(int64(2 * faultInterval))) {
-		add(Fault(random.IntN(int(faults))), at)
+		add(Fault(random.IntN(int(firstSeparateFault))), at)
+	}
+	random = rand.New(rand.NewPCG(seed, 1))
+	for fault := firstSeparateFault; fault < faults; fault++ {
+		for range random.IntN(maxSeparateFaults + 1) {
+			add(fault, time.Duration(random.Int64N(int64(length))))
+		}
 	}
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.Start, b.Start) })
 	return events
--- a/hatchsoak/inject.go
+++ b/hatchsoak/inject.go
@@ -49,6 +49,8 @@
 		run.standins.applyConfiguration()
 	case StoreOut, StoreSilent, StoreSlow, StoreLosesReplies, StoreHidesChanges, StoreRefuses:
 		run.injectStoreFault(event)
+	case StoreRestored:
+		run.restoreStore(event)
 	default:
 		run.injectReplicaFault(event)
 	}
@@ -172,11 +174,31 @@
 	run.standins.store.SetFaults(hatchstandin.PlatformFaults{})
 }
 
+// restoreDowntime is how long the store is away before it comes back from a copy.
+const restoreDowntime = 500 * time.Millisecond
+
+// restoreStore takes a copy of the store and brings the store back from it after the event's
+// length.
+func (run *run) restoreStore(event Event) {
+	run.storeFaultMu.Lock()
+	defer run.storeFaultMu.Unlock()
+	copied := run.standins.store.Copy()
+	time.Sleep(event.Length)
+	defer run.checker.beginDisturbance(-1)()
+	unblock := run.standins.blockWrites()
+	run.standins.store.SetFaults(hatchstandin.PlatformFaults{Outage: true})
+	time.Sleep(restoreDowntime)
+	run.standins.store.Restore(copied)
+	run.standins.store.SetFaults(hatchstandin.PlatformFaults{})
+	unblock()
+	run.standins.writeAgain()
+}
+
 // injectReplicaFault applies a fault to one replica. It does nothing if the service
 // has fewer than two.
 func (run *run) injectReplicaFault(event Event) {
 	service := modelService
-	if event.Fault >= DeskCrash || event.Fault == ReplicaLeaves && event.Target%3 == 0 {
+	if event.Fault >= DeskCrash && event.Fault <= DeskSheds || event.Fault == ReplicaLeaves && event.Target%3 == 0 {
 		service = plainService
 	}
 	replicas := run.standins.byService(service)
@@ -203,6 +225,10 @@
 		target.link.setState(linkStates[event.Fault])
 		time.Sleep(event.Length)
 		target.link.setState(linkOpen)
+	case EngineForeign:
+		target.engine.SetForeign(true)
+		time.Sleep(event.Length)
+		target.engine.SetForeign(false)
 	case DeskFails, DeskLosesAnswers, DeskSheds:
 		target.plain.SetFaults(plainFaults[event.Fault])
 		time.Sleep(event.Length)
--- a/hatchsoak/soak_test.go
+++ b/hatchsoak/soak_test.go
@@ -22,6 +22,7 @@
 	{1, "none"},
 	{105, "SIGHUP reached a daemon that had started but not yet installed its signal handlers, and ended it"},
 	{45, "a response with a broken head, or what followed it, was taken for the answer"},
+	{7001, "bytes that are no events were forwarded in a stream"},
 }
 
 const (
--- a/hatchsoak/standins.go
+++ b/hatchsoak/standins.go
@@ -56,7 +56,8 @@
 	writeBlocks int // active faults that also keep the stand-ins from writing to the store
 	created     int // number of replicas so far
 	live        []*replica
-	version     int // of the configuration
+	stopped     []string // ids of replicas that have crashed or left
+	version     int      // of the configuration
 }
 
 func newStandins(checker *checker) *standins {
@@ -175,6 +176,7 @@
 func (standins *standins) crash(replica *replica) {
 	standins.mu.Lock()
 	replica.stopped = true
+	standins.stopped = append(standins.stopped, replica.id)
 	for i, live := range standins.live {
 		if live == replica {
 			standins.live = append(standins.live[:i:i], standins.live[i+1:]...)
@@ -188,7 +190,23 @@
 		replica.plain.Crash()
 	}
 	replica.link.close()
-	time.AfterFunc(missedHeartbeats*heartbeatInterval, func() { standins.store.Remove("servers", replica.id) })
+	standins.removeLater(replica.id)
+}
+
+// removeLater removes the entry of a replica that writes no longer, as the store does.
+func (standins *standins) removeLater(id string) {
+	time.AfterFunc(missedHeartbeats*heartbeatInterval, func() { standins.store.Remove("servers", id) })
+}
+
+// writeAgain writes the configuration again after the store came back from a copy, and has the
+// entries removed that the copy has brought back. Live replicas renew theirs by themselves.
+func (standins *standins) writeAgain() {
+	standins.mu.Lock()
+	defer standins.mu.Unlock()
+	standins.store.Put("config", "main", []byte(configurationText(standins.version)))
+	for _, id := range standins.stopped {
+		standins.removeLater(id)
+	}
 }
 
 // leave registers the replica as leaving and ends it after the grace period.
--- a/hatchstandin/layers.go
+++ b/hatchstandin/layers.go
@@ -1,6 +1,7 @@
 package hatchstandin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -56,6 +57,7 @@
 	leaving          bool
 	commandsAccepted int // reported as the sequence number
 	exceededMemory   bool
+	sendsForeign     bool
 	onChange         func()
 }
 
@@ -236,12 +238,55 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
+		if engine.isSendingForeign() {
+			sendForeign(request.Context(), writer, event)
+			panic(http.ErrAbortHandler)
+		}
 		fmt.Fprintf(writer, "id: %d\ndata: token %d of %s\n\n", event, event, arrival.ID)
 		writer.(http.Flusher).Flush()
 		time.Sleep(engine.spec.EventInterval)
 	}
 }
 
+// SetForeign makes the engine's streams go on, from their next event, with bytes that are no
+// events of theirs, until their callers disconnect, or ends that for new events.
+func (engine *LayerEngine) SetForeign(enabled bool) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.sendsForeign = enabled
+}
+
+func (engine *LayerEngine) isSendingForeign() bool {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return engine.sendsForeign
+}
+
+// foreignInterval is the pause between two blocks of foreign bytes.
+const foreignInterval = 5 * time.Millisecond
+
+// sendForeign writes bytes that are not the event with the number, without an end.
+func sendForeign(ctx context.Context, writer http.ResponseWriter, event int) {
+	random := make([]byte, 8<<10)
+	for i := range random {
+		random[i] = byte(event*i*i + i>>3)
+	}
+	kinds := [][]byte{
+		random,
+		[]byte("a line of text\n\n"),
+		[]byte("HTTP/1.1 200 OK\r\nServer-Seal: seal\r\n\r\n"),
+		fmt.Appendf(nil, "id: %d\ndata: foreign\n\n", event-1),
+	}
+	block := kinds[event%len(kinds)]
+	for ctx.Err() == nil {
+		if _, err := writer.Write(block); err != nil {
+			return
+		}
+		writer.(http.Flusher).Flush()
+		time.Sleep(foreignInterval)
+	}
+}
+
 // hasPart reports whether a list of entries ID:TOKENS has the id.
 func hasPart(list, id string) bool {
 	for entry := range strings.SplitSeq(list, ",") {
