hatchforward: a test that foreign bytes count against their replica

The random bytes of TestForeignEvents differed from run to run. Change: TestForeignEventsCount, and a fixed seed for the random bytes.

--- a/hatchforward/foreignevents_test.go
+++ b/hatchforward/foreignevents_test.go
@@ -7,15 +7,18 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
+	"dragonflyhatch"
+	"dragonflyhatch/hatchpath"
 	"dragonflyhatch/hatchroute"
 )
 
 // foreignBytes are bytes that are no events after the event with the id 3, by their kind.
 func foreignBytes() map[string]string {
-	random := make([]byte, 64<<10)
+	random, source := make([]byte, 64<<10), rand.New(rand.NewPCG(1, 1))
 	for i := range random {
-		random[i] = byte(rand.Uint32())
+		random[i] = byte(source.Uint32())
 	}
 	return map[string]string{
 		"random":           string(random),
@@ -106,6 +109,34 @@
 	}
 }
 
+// TestForeignEventsCount guards against a replica that is chosen as often as sound ones although
+// its streams go on with bytes that are no events.
+func TestForeignEventsCount(t *testing.T) {
+	replica := newFakeReplica(t, "r-1")
+	routing, fleet := testRouting(), newFleet("desk", replica)
+	routing.Routes[2].Services = []dragonflyhatch.WeightedService{{Name: "desk", Weight: 1}}
+	fleet.table = hatchroute.NewTable(routing)
+	server := newServer(t, fleet)
+	cost := func() float64 {
+		comparison, err := fleet.view.CompareReplicas(time.Now(), hatchpath.Query{Service: "desk", Site: "site-0", Daemons: 1, Random: rand.New(rand.NewPCG(1, 1))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return comparison.Candidates[0].Cost
+	}
+	replica.setStream(endsComplete, 0)
+	sendRequest(server, "POST", "/stream/", "sound")
+	sound := cost()
+	replica.sendForeign(4, "foreign\n\n", false)
+	sendRequest(server, "POST", "/stream/", "foreign")
+	foreign := cost()
+	replica.setStream(endsComplete, 0)
+	sendRequest(server, "POST", "/stream/", "sound again")
+	if again := cost(); foreign <= sound || again >= foreign {
+		t.Errorf("cost %g after a sound stream, %g after one with foreign bytes, %g after a sound one again", sound, foreign, again)
+	}
+}
+
 // TestUnusualEvents guards against sound events that are refused.
 func TestUnusualEvents(t *testing.T) {
 	stream := ": ping\n\nweight-versions: 2\nid: 3\ndata: a\ndata:b\n\nevent: token\r\nid:9\r\nretry: 20\r\ndata: \u00e4\U0001f600 c d\r\n\r\n: end\n\n"
