hatchforward: the engine of TestAdmissionOfStreams resumes where it is asked to

Change: the test's engine sends the events after Last-Event-Id, as on a route that can be resumed it must (PROTOCOL.md, Requests). The test asks for the same statuses as before; what a caller gets from an engine that repeats events is in TestForeignEventsOfResumedStreams.

--- a/hatchforward/admission_test.go
+++ b/hatchforward/admission_test.go
@@ -11,10 +11,15 @@
 	"github.com/smartystreets/goconvey/convey"
 )
 
-// streamWithLoad makes the replica answer with a whole stream and the load header.
+// streamWithLoad makes the replica answer with the stream after the caller's resume position and
+// the load header.
 func (replica *fakeReplica) streamWithLoad(load string) {
 	replica.setRaw(func(conn net.Conn, id string) {
-		io.WriteString(conn, fmt.Sprintf(sealedHeaders, id)+"Replica-Load: "+load+"\r\nContent-Type: text/event-stream\r\n\r\n"+expectedStream(0))
+		after, err := strconv.Atoi(replica.lastRequest().Header.Get("Last-Event-Id"))
+		if err != nil {
+			after = 0 // the stream starts at its beginning
+		}
+		io.WriteString(conn, fmt.Sprintf(sealedHeaders, id)+"Replica-Load: "+load+"\r\nContent-Type: text/event-stream\r\n\r\n"+expectedStream(after))
 	})
 }
 
