hatchgateway: a test of a leader that ends while the store is restored

Change: TestLeaderEndsWithRestoration: the lease of the copy is missing, that of the leader that has ended, or that of an earlier leader, which then leads.

--- a/hatchgateway/era_test.go
+++ b/hatchgateway/era_test.go
@@ -541,3 +541,61 @@
 		cluster.eventually(3*time.Second, "all gateways serve", cluster.allServing)
 	})
 }
+
+// TestLeaderEndsWithRestoration guards against a fleet without a leader after its leader has ended
+// while the store came back from a copy.
+func TestLeaderEndsWithRestoration(t *testing.T) {
+	ctx := context.Background()
+	for name, holder := range map[string]string{"missing": "", "of the leader that has ended": "a", "of an earlier leader": "b"} {
+		standIn := hatchstandin.NewPlatform()
+		server := httptest.NewServer(standIn.Handler())
+		newDaemon := func(host string) *Gateway {
+			return New(&platform.Settings{Host: host, PeerAddress: "127.0.0.1:1", StoreAddress: server.Listener.Addr().String()})
+		}
+		daemons := map[string]*Gateway{"a": newDaemon("a"), "b": newDaemon("b"), "c": newDaemon("c")}
+		if holder != "" {
+			value, err := json.Marshal(lease{Host: holder, Process: daemons[holder].roster.Self().Process})
+			if err != nil {
+				t.Fatal(err)
+			}
+			standIn.Put("leases", "placement", value)
+		}
+		copied := standIn.Copy()
+		standIn.Put("config", "main", []byte(`{"version":1}`))
+		leaving := daemons["a"].roster.Self()
+		leaving.Leaving, leaving.Version = true, leaving.Version+1
+		known, _ := dragonflyhatch.StoreVersion(1, 90)
+		standIn.Restore(copied)
+		for host, daemon := range daemons {
+			for other := range daemons {
+				if other != host {
+					daemon.roster.Merge(daemons[other].roster.Self())
+				}
+			}
+			daemon.mergeLeader("a", known)
+			daemon.roster.Merge(leaving)
+		}
+		leads := func() *Gateway {
+			for _, host := range []string{"c", "b"} { // c is the first to notice
+				if err := daemons[host].acquireLease(ctx, time.Now()); err != nil {
+					t.Errorf("%s: %v", name, err)
+				}
+				daemons["b"].mergeLeader(daemons["c"].leader.host, daemons["c"].leader.term)
+				daemons["c"].mergeLeader(daemons["b"].leader.host, daemons["b"].leader.term)
+			}
+			switch b, c := daemons["b"], daemons["c"]; {
+			case b.isLeader() == c.isLeader(), b.leader.term != c.leader.term, dragonflyhatch.EraOf(b.leader.term) != 2:
+				t.Errorf("%s: b leads: %t in the term %d, c: %t in %d", name, b.isLeader(), b.leader.term, c.isLeader(), c.leader.term)
+				return nil
+			case b.isLeader():
+				return b
+			default:
+				return c
+			}
+		}
+		if first := leads(); first != leads() {
+			t.Errorf("%s: the leader changes", name)
+		}
+		server.Close()
+	}
+}
