hatchgateway: TestDrainAfterRestoration reads its gateways under their mutex

Cause: gossip of a later era makes the test's second gateway fetch from the first one concurrently, and the test read its registrations without the mutex. Change: the test reads under the mutex. It checks the same as before.

--- a/hatchgateway/era_test.go
+++ b/hatchgateway/era_test.go
@@ -462,23 +462,39 @@
 	register("r-1", "draining")
 	register("r-3", "ready")
 	reader.pollOnce(ctx, lastVersion, true)
-	isRight := func(replicas *replicaSet) bool {
-		return replicas.byID["r-1"].Leaving && !replicas.byID["r-2"].Leaving && replicas.byID["r-3"].Service != ""
+	// A peer fetches the newer versions that gossip announces concurrently.
+	locked := func(gateway *Gateway, read func() bool) bool {
+		gateway.mu.Lock()
+		defer gateway.mu.Unlock()
+		return read()
 	}
-	if !isRight(&reader.replicas) || reader.Table().Version != 9 {
-		t.Errorf("the daemon that reads the store knows %v, configuration %d", reader.replicas.list(), reader.Table().Version)
+	isRight := func(gateway *Gateway) bool {
+		return locked(gateway, func() bool {
+			known := gateway.replicas.byID
+			return known["r-1"].Leaving && !known["r-2"].Leaving && known["r-3"].Service != ""
+		})
+	}
+	compose := func(gateway *Gateway) (gossip dragonflyhatch.Gossip) {
+		locked(gateway, func() bool {
+			gossip = gateway.composeGossip(false, 0)
+			return true
+		})
+		return gossip
+	}
+	if !isRight(reader) || reader.Table().Version != 9 {
+		t.Errorf("the daemon that reads the store does not follow it, or is at configuration %d", reader.Table().Version)
 	}
-	reader.mergeGossip(peer.ExchangeGossip(reader.composeGossip(false, 0)))
-	if !isRight(&reader.replicas) {
-		t.Errorf("after gossip of a peer in the era before it knows %v", reader.replicas.list())
+	reader.mergeGossip(peer.ExchangeGossip(compose(reader)))
+	if !isRight(reader) {
+		t.Error("gossip of a peer in the era before undoes what is known")
 	}
-	if !peer.isBehind(reader.composeGossip(false, 0)) {
+	if !peer.isBehind(compose(reader)) {
 		t.Error("the peer does not fetch the registrations of the later era")
 	}
 	version, value := reader.Snapshot(dragonflyhatch.SnapshotReplicas)
 	peer.applyReplicaSnapshot(version, value, "a")
-	if !isRight(&peer.replicas) || peer.replicas.digest() != reader.replicas.digest() {
-		t.Errorf("the peer knows %v", peer.replicas.list())
+	if !isRight(peer) || compose(peer).ReplicasDigest != compose(reader).ReplicasDigest {
+		t.Error("the peer does not know what the reader knows")
 	}
 }
 
