hatchevent: the steps of the former TestEventSplitter, as strict as they were

Cause: the tests of hatchevent asked for the events and ids of streams of any cuts, but not for the id and the rest after each step that TestEventSplitter had, and the bound on the bytes that are read of an endless event had become 8 KB where it was 4. Change: TestSplitter has these steps, and more; the bound is 4 KB again.

--- a/hatchevent/splitter_test.go
+++ b/hatchevent/splitter_test.go
@@ -101,6 +101,27 @@
 	return append(ways, single)
 }
 
+// TestSplitter guards against events that are returned incomplete, or with another id than that of
+// the last one.
+func TestSplitter(t *testing.T) {
+	splitter := NewSplitter(WithLeadingField(leadingField))
+	for _, step := range []struct {
+		data, text, id string
+		rest           int
+	}{
+		{"id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", "1", len("id: 2\nda")},
+		{"ta: b\r\n\r\n", "id: 2\ndata: b\r\n\r\n", "2", 0},
+		{"weight-versions: 3\nid:7\ndata: c\n\n", "weight-versions: 3\nid:7\ndata: c\n\n", "7", 0},
+		{"id: 8\ndata: d\n\nid: 9\ndata: e\n\n: end\n\n", "id: 8\ndata: d\n\nid: 9\ndata: e\n\n: end\n\n", "9", 0},
+		{": ping\n\n", ": ping\n\n", "", 0},
+	} {
+		events, err := splitter.Add([]byte(step.data))
+		if string(events.Text) != step.text || events.LastID != step.id || splitter.Rest() != step.rest || err != nil {
+			t.Errorf("after %q: got %q up to id %q, and %d bytes of the next event, %v", step.data, events.Text, events.LastID, splitter.Rest(), err)
+		}
+	}
+}
+
 // TestInvalidEvents guards against bytes of a replica in trouble that pass as events.
 func TestInvalidEvents(t *testing.T) {
 	for name, invalid := range invalidEvents {
@@ -138,7 +159,7 @@
 	for ; err == nil; total += 4 << 10 {
 		_, _, err = read(splitter, ": "+strings.Repeat("x", 4<<10-2))
 	}
-	if total > maxEventSize+8<<10 {
+	if total > maxEventSize+4<<10 {
 		t.Errorf("%d bytes of one event were read", total)
 	}
 }
